feat(platform): serve the users' platform through an adapter

Cause: nothing of the product could run on the platform; it speaks protocols of its own to a stand-in of its own.

Gateways choose backend servers alone on evidence and loads told by datagrams.

--- /dev/null
+++ b/crates/front/src/clock.rs
@@ -0,0 +1,51 @@
+//! The clock of the process.
+
+use std::time;
+
+use rustix::time::ClockId;
+use toucanledge_core::{Incarnation, Millis};
+
+/// Milliseconds since the start of the process, the time in which the machine was suspended
+/// included.
+///
+/// The monotonic clock stops while a machine is suspended, so a request's deadline would seem to be
+/// further away than it is.
+#[derive(Clone, Copy, Debug)]
+pub struct FrontClock {
+    start: u64,
+    boot: Incarnation,
+}
+
+impl FrontClock {
+    /// Returns a clock that starts now.
+    #[must_use]
+    pub fn start() -> Self {
+        let since_epoch = time::SystemTime::now()
+            .duration_since(time::UNIX_EPOCH)
+            .unwrap_or_default();
+        Self {
+            start: boot_millis(),
+            boot: Incarnation(u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)),
+        }
+    }
+
+    /// Returns the time.
+    #[must_use]
+    pub fn now(&self) -> Millis {
+        // One keeps 0 free for "never".
+        Millis(boot_millis().saturating_sub(self.start) + 1)
+    }
+
+    /// Returns the start of the process.
+    #[must_use]
+    pub fn boot(&self) -> Incarnation {
+        self.boot
+    }
+}
+
+fn boot_millis() -> u64 {
+    let now = rustix::time::clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(now.tv_sec).unwrap_or_default();
+    let millis = u64::try_from(now.tv_nsec / 1_000_000).unwrap_or_default();
+    seconds * 1000 + millis
+}
--- /dev/null
+++ b/crates/front/src/engine.rs
@@ -0,0 +1,422 @@
+//! Carries requests from callers to backend servers.
+
+use std::sync;
+use std::time;
+
+use http_body_util::Full;
+use hyper::body;
+use hyper::header;
+use toucanledge_core::{Millis, PoolId};
+use toucanledge_steering::{
+    CallerLimits, ChoicePlan, ChoiceRefusal, RouteRow, ServerEvidence, ServerId, ServerKey,
+};
+use toucanledge_table::RepeatRule;
+
+use crate::answer;
+use crate::answer::{CallerAnswer, RefusalReason};
+use crate::attempt::{AttemptTarget, FlightGuard, RequestTrace};
+use crate::clock::FrontClock;
+use crate::dialect::HeaderDialect;
+use crate::exchange;
+use crate::exchange::{ConnectFailure, ExchangeEnd, ServerAnswer};
+use crate::request;
+use crate::request::CallerRequest;
+use crate::settings::FrontSettings;
+use crate::state::FleetState;
+
+/// Request bodies that the gateway holds at once, in KiB; a fifth of a VM's memory.
+const BUFFER_KIB: usize = 48 * 1024;
+/// Time in milliseconds after which another backend server is tried instead of waiting for a
+/// connection; a round trip between failure domains takes 2 ms.
+const CONNECT_MS: u64 = 80;
+/// Backend servers to which a connection is tried for one request.
+const MAX_CONNECTS: usize = 6;
+/// Pause in milliseconds before servers that refused are tried again.
+const AGAIN_MS: u64 = 40;
+/// Time in milliseconds after which a refused caller may come back.
+const COME_BACK_MS: u64 = 150;
+/// The same where a gateway has no published facts or no backend server.
+const NO_FACTS_MS: u64 = 400;
+
+/// Everything that serves callers.
+#[derive(Debug)]
+pub struct FrontEngine {
+    /// Settings of the process.
+    pub settings: FrontSettings,
+    /// Header names.
+    pub dialect: HeaderDialect,
+    /// Clock.
+    pub clock: FrontClock,
+    /// Wakes the task that writes to peers.
+    pub outbound: tokio::sync::Notify,
+    /// Whether peers were named that this gateway has not greeted.
+    pub greetings_due: sync::atomic::AtomicBool,
+    /// Wakes the task that reads facts.
+    pub facts_wanted: tokio::sync::Notify,
+    state: sync::Mutex<FleetState>,
+    memory: sync::Arc<tokio::sync::Semaphore>,
+}
+
+/// A request on its way.
+struct RoutedRequest {
+    request: CallerRequest,
+    route: RouteRow,
+    pool: PoolId,
+    deadline: Millis,
+}
+
+/// What to do after one try.
+enum TryStep {
+    Done(CallerAnswer),
+    Connect(RefusalReason),
+    Again(RefusalReason, Option<ServerAnswer>),
+}
+
+impl FrontEngine {
+    /// Returns an engine without facts.
+    #[must_use]
+    pub fn new(settings: FrontSettings, dialect: HeaderDialect, clock: FrontClock) -> Self {
+        Self {
+            settings,
+            dialect,
+            clock,
+            outbound: tokio::sync::Notify::new(),
+            greetings_due: sync::atomic::AtomicBool::new(false),
+            facts_wanted: tokio::sync::Notify::new(),
+            state: sync::Mutex::default(),
+            memory: sync::Arc::new(tokio::sync::Semaphore::new(BUFFER_KIB)),
+        }
+    }
+
+    /// Returns what the gateway believes; never held across a wait.
+    pub fn state(&self) -> sync::MutexGuard<'_, FleetState> {
+        self.state
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    /// Returns the limits on callers, where they are known.
+    #[must_use]
+    pub fn limits(&self) -> Option<CallerLimits> {
+        self.state().table.as_ref().map(|table| table.limits())
+    }
+
+    /// Serves a request.
+    pub async fn serve(
+        self: sync::Arc<Self>,
+        incoming: hyper::Request<body::Incoming>,
+    ) -> CallerAnswer {
+        metrics::counter!("toucanledge_requests_total").increment(1);
+        let arrived = self.clock.now();
+        let (head, body) = incoming.into_parts();
+        let mut trace = RequestTrace::new(&head, &self.dialect, arrived);
+        let answer = match self.admit(head, body, arrived, &mut trace).await {
+            Ok(routed) => self.carry(&routed, &mut trace).await,
+            Err(reason) => {
+                trace.refused = Some(reason);
+                let wait = match reason {
+                    RefusalReason::NoTable => NO_FACTS_MS,
+                    _ => COME_BACK_MS,
+                };
+                answer::refusal(reason, wait)
+            }
+        };
+        trace.finish(answer.status(), self.clock.now());
+        answer
+    }
+
+    async fn admit(
+        &self,
+        head: hyper::http::request::Parts,
+        body: body::Incoming,
+        arrived: Millis,
+        trace: &mut RequestTrace,
+    ) -> Result<RoutedRequest, RefusalReason> {
+        request::check_head(&head)?;
+        let table = self.state().table.clone().ok_or(RefusalReason::NoTable)?;
+        trace.version = table.version();
+        let host = head
+            .headers
+            .get(header::HOST)
+            .and_then(|host| host.to_str().ok())
+            .or_else(|| head.uri.host())
+            .unwrap_or_default()
+            .to_owned();
+        let route = table
+            .route(&host, head.uri.path())
+            .ok_or(RefusalReason::NoRoute)?
+            .clone();
+        trace.route.clone_from(&route.name);
+        let pool = route
+            .part(rand::random::<f64>())
+            .ok_or(RefusalReason::NoServer)?;
+        let left = head
+            .headers
+            .get(&self.dialect.time_left)
+            .and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
+        let deadline = arrived + left.unwrap_or(route.timeout_ms).min(route.timeout_ms);
+        {
+            let mut state = self.state();
+            let gateways = state.peers.known().count() + 1;
+            let FrontSettings {
+                retry_ratio,
+                retry_slack,
+                ..
+            } = self.settings;
+            state.budget(pool).earn(retry_ratio, retry_slack, gateways);
+        }
+        let max_body = table.limits().body_bytes;
+        let request = request::read_request(head, body, max_body, &self.memory).await?;
+        Ok(RoutedRequest {
+            request,
+            route,
+            pool,
+            deadline,
+        })
+    }
+
+    /// Sends a request until a backend server ran it or nothing more can be done.
+    async fn carry(
+        self: &sync::Arc<Self>,
+        routed: &RoutedRequest,
+        trace: &mut RequestTrace,
+    ) -> CallerAnswer {
+        let mut tried: Vec<ServerKey> = Vec::new();
+        let mut connects = 0;
+        let mut sends: u32 = 0;
+        let mut last: (RefusalReason, Option<ServerAnswer>) = (RefusalReason::TooLate, None);
+        loop {
+            let now = self.clock.now();
+            if now >= routed.deadline {
+                return give_up(last, trace);
+            }
+            if sends > 0 && !self.state().budget(routed.pool).take() {
+                trace.budget_spent = true;
+                return give_up(last, trace);
+            }
+            let target = match self.pick(routed, &tried, sends, now) {
+                Ok(target) => target,
+                Err(reason) => {
+                    if sends > 0 {
+                        self.state().budget(routed.pool).give_back();
+                    }
+                    if reason == RefusalReason::Full && connects < MAX_CONNECTS && sends == 0 {
+                        connects += 1;
+                        tried.clear();
+                        tokio::time::sleep(time::Duration::from_millis(AGAIN_MS)).await;
+                        continue;
+                    }
+                    if last.0 == RefusalReason::TooLate {
+                        last.0 = reason;
+                    }
+                    return give_up(last, trace);
+                }
+            };
+            tried.push(target.key);
+            trace.servers.push(target.name.to_string());
+            match self.attempt(routed, target, sends, trace).await {
+                TryStep::Done(answer) => return answer,
+                TryStep::Connect(reason) => {
+                    if sends > 0 {
+                        self.state().budget(routed.pool).give_back();
+                    }
+                    connects += 1;
+                    if last.1.is_none() && sends == 0 {
+                        last.0 = reason;
+                    }
+                    if connects >= MAX_CONNECTS {
+                        return give_up(last, trace);
+                    }
+                }
+                TryStep::Again(reason, answer) => {
+                    sends += 1;
+                    last = (reason, answer);
+                    if sends >= routed.route.max_tries {
+                        return give_up(last, trace);
+                    }
+                }
+            }
+        }
+    }
+
+    fn pick(
+        self: &sync::Arc<Self>,
+        routed: &RoutedRequest,
+        tried: &[ServerKey],
+        sends: u32,
+        now: Millis,
+    ) -> Result<AttemptTarget, RefusalReason> {
+        let mut state = self.state();
+        if state.crashes.suspected(routed.request.fingerprint, now) {
+            return Err(RefusalReason::CrashSuspect);
+        }
+        let plan = ChoicePlan {
+            pool: routed.pool,
+            repeat: routed.route.repeat,
+            retry_left: sends + 1 < routed.route.max_tries,
+            tried,
+            domain: &self.settings.failure_domain,
+        };
+        let chosen = state.servers.choose(&plan, now, &mut rand::rng());
+        let (key, trial) = match chosen {
+            Ok(chosen) => chosen,
+            Err(ChoiceRefusal::NoServer) => return Err(RefusalReason::NoServer),
+            Err(ChoiceRefusal::AllTried) => return Err(RefusalReason::Full),
+        };
+        let Some(entry) = state.servers.get_mut(key) else {
+            return Err(RefusalReason::NoServer);
+        };
+        let target = AttemptTarget {
+            key,
+            id: ServerId::of(&entry.row.name),
+            name: sync::Arc::clone(&entry.row.name),
+            address: entry.row.address,
+            trial,
+        };
+        drop(state);
+        Ok(target)
+    }
+
+    /// Connects to one backend server and sends the request there.
+    async fn attempt(
+        self: &sync::Arc<Self>,
+        routed: &RoutedRequest,
+        target: AttemptTarget,
+        sends: u32,
+        trace: &mut RequestTrace,
+    ) -> TryStep {
+        let flight = FlightGuard::enter(self, &target);
+        let left = routed.deadline.since(self.clock.now());
+        let timeout = time::Duration::from_millis(CONNECT_MS.min(left));
+        let stream = match exchange::connect(target.address, timeout).await {
+            Ok(stream) => stream,
+            Err(failure) => {
+                self.note_connect(&target, failure);
+                return TryStep::Connect(RefusalReason::NoConnection);
+            }
+        };
+        let now = self.clock.now();
+        let left = routed.deadline.since(now);
+        let outgoing = exchange::outgoing(&routed.request, &target.name, left, &self.dialect);
+        let Some(outgoing) = outgoing.filter(|_| left > 0) else {
+            return TryStep::Connect(RefusalReason::TooLate);
+        };
+        let deadline = time::Instant::now() + time::Duration::from_millis(left);
+        let end = exchange::exchange(stream, outgoing, &self.dialect, deadline).await;
+        let took = self.clock.now().since(now);
+        drop(flight);
+        trace.ends.push(end_name(&end));
+        self.judge(routed, &target, end, sends, took)
+    }
+
+    fn note_connect(&self, target: &AttemptTarget, failure: ConnectFailure) {
+        let now = self.clock.now();
+        let mut state = self.state();
+        if failure == ConnectFailure::Refused {
+            state.witness(target.id, ServerEvidence::Refused, None, now);
+        }
+        if let Some(entry) = state.servers.get_mut(target.key) {
+            entry.health.note_path(now);
+        }
+        drop(state);
+        log::info!(
+            "[path] server={} connection={failure:?} trial={}",
+            target.name,
+            target.trial
+        );
+        self.outbound.notify_one();
+    }
+
+    /// Turns the end of an exchange into evidence and the next step.
+    fn judge(
+        &self,
+        routed: &RoutedRequest,
+        target: &AttemptTarget,
+        end: ExchangeEnd,
+        _sends: u32,
+        took: u64,
+    ) -> TryStep {
+        let repeatable = routed.route.repeat == RepeatRule::Repeatable;
+        let evidence = evidence_of(&end);
+        let crash = matches!(end, ExchangeEnd::Broken).then_some(routed.request.fingerprint);
+        if self
+            .state()
+            .witness(target.id, evidence, crash, self.clock.now())
+        {
+            log::info!(
+                "[health] server={} evidence={evidence} took_ms={took} trial={}",
+                target.name,
+                target.trial
+            );
+            self.outbound.notify_one();
+        }
+        let failed = |reason: RefusalReason| {
+            if repeatable {
+                TryStep::Again(reason, None)
+            } else {
+                TryStep::Done(answer::refusal(reason, COME_BACK_MS))
+            }
+        };
+        match end {
+            ExchangeEnd::Answered(server_answer) => {
+                let lost = server_answer.status.is_server_error();
+                if lost && repeatable {
+                    TryStep::Again(RefusalReason::Broken, Some(server_answer))
+                } else {
+                    TryStep::Done(pass_on(server_answer))
+                }
+            }
+            ExchangeEnd::Full => TryStep::Again(RefusalReason::Full, None),
+            ExchangeEnd::WrongServer => {
+                self.state().servers.remove(target.id);
+                TryStep::Again(RefusalReason::Full, None)
+            }
+            ExchangeEnd::Broken => failed(RefusalReason::Broken),
+            ExchangeEnd::BadAnswer => failed(RefusalReason::BadAnswer),
+            ExchangeEnd::Silent => failed(RefusalReason::Silent),
+        }
+    }
+}
+
+fn evidence_of(end: &ExchangeEnd) -> ServerEvidence {
+    match end {
+        ExchangeEnd::Answered(answer) if answer.status.is_server_error() => {
+            ServerEvidence::OwnError
+        }
+        ExchangeEnd::Answered(_) => ServerEvidence::Success,
+        ExchangeEnd::Full | ExchangeEnd::WrongServer => ServerEvidence::Full,
+        ExchangeEnd::Broken => ServerEvidence::Broken,
+        ExchangeEnd::BadAnswer => ServerEvidence::BadAnswer,
+        ExchangeEnd::Silent => ServerEvidence::Silent,
+    }
+}
+
+fn end_name(end: &ExchangeEnd) -> String {
+    match end {
+        ExchangeEnd::Answered(answer) => answer.status.as_u16().to_string(),
+        ExchangeEnd::Full => "full".to_owned(),
+        ExchangeEnd::WrongServer => "wrong-server".to_owned(),
+        ExchangeEnd::Broken => "broken".to_owned(),
+        ExchangeEnd::BadAnswer => "bad-answer".to_owned(),
+        ExchangeEnd::Silent => "silent".to_owned(),
+    }
+}
+
+/// Answers with the last failure: the backend server's own answer where there is one.
+fn give_up(
+    (reason, server_answer): (RefusalReason, Option<ServerAnswer>),
+    trace: &mut RequestTrace,
+) -> CallerAnswer {
+    trace.refused = Some(reason);
+    match server_answer {
+        Some(server_answer) => pass_on(server_answer),
+        None => answer::refusal(reason, COME_BACK_MS),
+    }
+}
+
+fn pass_on(server_answer: ServerAnswer) -> CallerAnswer {
+    let mut answer = hyper::Response::new(Full::new(server_answer.body));
+    *answer.status_mut() = server_answer.status;
+    *answer.headers_mut() = server_answer.headers;
+    answer
+}
--- /dev/null
+++ b/crates/front/src/peers.rs
@@ -0,0 +1,222 @@
+//! Datagrams to and from the other gateways.
+
+use std::collections;
+use std::net;
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use toucanledge_core::Millis;
+use toucanledge_steering::{PeerId, PeerNote};
+use xxhash_rust::xxh3;
+
+use crate::engine::FrontEngine;
+use crate::note;
+
+/// Time in which changes are gathered into one datagram.
+const GATHER: time::Duration = time::Duration::from_millis(4);
+/// Time between two heartbeats inside the failure domain, in milliseconds.
+const NEAR_BEAT_MS: u64 = 400;
+/// Heartbeats inside the failure domain for one to other failure domains, whose bytes are dear.
+const FAR_BEATS: u64 = 5;
+/// Time in milliseconds between two greetings of seeds that are not heard.
+const SEED_MS: u64 = 1_200;
+/// Peers named in an answer to a gateway that was unknown.
+const MAX_NAMED: usize = 64;
+/// Greatest datagram in bytes that is read.
+const MAX_DATAGRAM: usize = 16 * 1024;
+
+/// Returns the hash of a failure domain's name.
+#[must_use]
+pub fn domain_hash(name: &str) -> u64 {
+    xxh3::xxh3_64(name.as_bytes())
+}
+
+/// Reads datagrams until the process stops.
+pub async fn receive(socket: sync::Arc<tokio::net::UdpSocket>, engine: sync::Arc<FrontEngine>) {
+    let mut buffer = vec![0; MAX_DATAGRAM];
+    loop {
+        match socket.recv_from(&mut buffer).await {
+            Ok((length, from)) => match note::decode_note(&buffer[..length]) {
+                Some(told) => take_note(&socket, &engine, from, &told).await,
+                None => metrics::counter!("toucanledge_bad_datagrams_total").increment(1),
+            },
+            Err(error) => {
+                log::debug!("[peers] receive failed: {error}");
+                tokio::time::sleep(GATHER).await;
+            }
+        }
+    }
+}
+
+async fn take_note(
+    socket: &tokio::net::UdpSocket,
+    engine: &sync::Arc<FrontEngine>,
+    from: net::SocketAddr,
+    told: &PeerNote,
+) {
+    let now = engine.clock.now();
+    let (unknown, behind) = {
+        let mut state = engine.state();
+        let unknown = !state.peers.known().any(|(peer, _)| peer == from);
+        state.hear(from, told, now);
+        let near = told.domain == domain_hash(&engine.settings.failure_domain);
+        let behind = near && told.reading && told.revision > state.facts.revision();
+        (unknown, behind)
+    };
+    if behind {
+        engine.facts_wanted.notify_one();
+    }
+    if unknown {
+        log::info!("[peers] heard peer={from} boot={}", told.boot.0);
+        let named: Vec<PeerId> = {
+            let state = engine.state();
+            state
+                .peers
+                .live(now)
+                .map(|(peer, _)| peer)
+                .filter(|peer| *peer != from)
+                .take(MAX_NAMED)
+                .collect()
+        };
+        let mut note = base_note(engine, 0);
+        note.peers = named;
+        // Sequence 0 is never newer than a heartbeat, so the greeting changes no load.
+        send(socket, &note::encode_note(&note), from).await;
+    }
+    if !told.peers.is_empty() {
+        engine.greetings_due.store(true, atomic::Ordering::Relaxed);
+        engine.outbound.notify_one();
+    }
+}
+
+/// Writes changes and heartbeats until the process stops.
+pub async fn transmit(socket: sync::Arc<tokio::net::UdpSocket>, engine: sync::Arc<FrontEngine>) {
+    let mut sequence = 1;
+    let mut beats: u64 = 0;
+    let mut next_beat = Millis::default();
+    let mut next_seeds = Millis::default();
+    loop {
+        let now = engine.clock.now();
+        let wait = time::Duration::from_millis(next_beat.since(now));
+        tokio::select! {
+            () = engine.outbound.notified() => tokio::time::sleep(GATHER).await,
+            () = tokio::time::sleep(wait) => {}
+        }
+        let now = engine.clock.now();
+        engine.state().expire(now);
+        let beat = now >= next_beat;
+        if beat {
+            next_beat = now + NEAR_BEAT_MS;
+            beats += 1;
+        }
+        flush(&socket, &engine, &mut sequence, beat, beats).await;
+        let told = engine.greetings_due.swap(false, atomic::Ordering::Relaxed);
+        if told || now >= next_seeds {
+            next_seeds = now + SEED_MS;
+            greet(&socket, &engine, &mut sequence).await;
+        }
+    }
+}
+
+/// Sends what changed: loads inside the failure domain, evidence to everyone.
+async fn flush(
+    socket: &tokio::net::UdpSocket,
+    engine: &sync::Arc<FrontEngine>,
+    sequence: &mut u64,
+    beat: bool,
+    beats: u64,
+) {
+    let now = engine.clock.now();
+    let own = domain_hash(&engine.settings.failure_domain);
+    let (loads, evidence, near, far) = {
+        let mut state = engine.state();
+        let changed = state.take_loads();
+        let loads = if beat { state.all_loads() } else { changed };
+        let evidence = state.take_evidence(now);
+        let mut near = Vec::new();
+        let mut far = Vec::new();
+        for (peer, known) in state.peers.known() {
+            if known.domain == own {
+                near.push(peer);
+            } else {
+                far.push(peer);
+            }
+        }
+        (loads, evidence, near, far)
+    };
+    if !beat && loads.is_empty() && evidence.is_empty() {
+        return;
+    }
+    let mut note = base_note(engine, *sequence);
+    *sequence += 1;
+    note.full = beat;
+    note.loads = loads;
+    note.evidence = evidence;
+    let datagram = note::encode_note(&note);
+    for peer in near {
+        send(socket, &datagram, peer).await;
+    }
+    let far_beat = beat && beats.is_multiple_of(FAR_BEATS);
+    if far_beat || !note.evidence.is_empty() {
+        note.loads.clear();
+        let datagram = note::encode_note(&note);
+        for peer in far {
+            send(socket, &datagram, peer).await;
+        }
+    }
+}
+
+/// Greets gateways that are not known yet: silent seeds and those that peers spoke of.
+async fn greet(
+    socket: &tokio::net::UdpSocket,
+    engine: &sync::Arc<FrontEngine>,
+    sequence: &mut u64,
+) {
+    let now = engine.clock.now();
+    let own = engine.settings.peer_listen();
+    let targets: collections::BTreeSet<PeerId> = {
+        let mut state = engine.state();
+        let rumours = state.peers.take_rumours();
+        let live: collections::BTreeSet<PeerId> =
+            state.peers.live(now).map(|(peer, _)| peer).collect();
+        let seeds = engine.settings.seed_peers();
+        seeds
+            .chain(rumours)
+            .filter(|peer| *peer != own && !live.contains(peer))
+            .collect()
+    };
+    if targets.is_empty() {
+        return;
+    }
+    let mut note = base_note(engine, *sequence);
+    *sequence += 1;
+    note.full = false;
+    let datagram = note::encode_note(&note);
+    for peer in targets {
+        send(socket, &datagram, peer).await;
+    }
+}
+
+fn base_note(engine: &sync::Arc<FrontEngine>, sequence: u64) -> PeerNote {
+    let state = engine.state();
+    PeerNote {
+        boot: engine.clock.boot(),
+        sequence,
+        domain: domain_hash(&engine.settings.failure_domain),
+        revision: state.facts.revision(),
+        reading: state.reading,
+        stopping: state.stopping,
+        full: false,
+        loads: Vec::new(),
+        evidence: Vec::new(),
+        peers: Vec::new(),
+    }
+}
+
+async fn send(socket: &tokio::net::UdpSocket, datagram: &[u8], peer: PeerId) {
+    if let Err(error) = socket.send_to(datagram, peer).await {
+        metrics::counter!("toucanledge_datagram_failures_total").increment(1);
+        log::debug!("[peers] send to {peer} failed: {error}");
+    }
+}
--- /dev/null
+++ b/crates/front/src/request.rs
@@ -0,0 +1,140 @@
+//! A caller's request, read whole.
+
+use std::sync;
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body;
+use hyper::header;
+use toucanledge_core::{CallerHash, Fingerprint};
+
+use crate::answer::RefusalReason;
+
+/// Headers that concern one connection and are not forwarded.
+const HOP_HEADERS: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Unit of the buffer limit in bytes; a semaphore counts at most `u32` permits at a time.
+const BUFFER_UNIT: usize = 1024;
+
+/// A caller's request with its whole body.
+#[derive(Debug)]
+pub struct CallerRequest {
+    /// Method.
+    pub method: hyper::Method,
+    /// Path and query as sent.
+    pub target: String,
+    /// Headers to forward.
+    pub headers: hyper::HeaderMap,
+    /// Whole body.
+    pub body: Bytes,
+    /// Identifies requests that are the same but for their attempt.
+    pub fingerprint: Fingerprint,
+    _permits: Vec<tokio::sync::OwnedSemaphorePermit>,
+}
+
+/// Returns the headers without those that concern one connection only.
+#[must_use]
+pub fn end_to_end(headers: &hyper::HeaderMap) -> hyper::HeaderMap {
+    let named: Vec<String> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    let mut kept = hyper::HeaderMap::with_capacity(headers.len());
+    for (name, value) in headers {
+        let lower = name.as_str();
+        if HOP_HEADERS.contains(&lower) || named.iter().any(|own| own == lower) {
+            continue;
+        }
+        kept.append(name.clone(), value.clone());
+    }
+    kept
+}
+
+/// Checks the shape of a head against request smuggling.
+///
+/// # Errors
+///
+/// Returns why the request is refused.
+pub fn check_head(head: &hyper::http::request::Parts) -> Result<(), RefusalReason> {
+    let headers = &head.headers;
+    let both_lengths = headers.contains_key(header::TRANSFER_ENCODING)
+        && headers.contains_key(header::CONTENT_LENGTH);
+    let many_lengths = headers.get_all(header::CONTENT_LENGTH).iter().count() > 1;
+    let many_hosts = headers.get_all(header::HOST).iter().count() > 1;
+    let unsupported = head.method == hyper::Method::CONNECT || headers.contains_key("upgrade");
+    if both_lengths || many_lengths || many_hosts || unsupported {
+        return Err(RefusalReason::BadRequest);
+    }
+    Ok(())
+}
+
+/// Reads a request whole.
+///
+/// # Errors
+///
+/// Returns why the request is refused.
+pub async fn read_request(
+    head: hyper::http::request::Parts,
+    body: body::Incoming,
+    max_body: usize,
+    memory: &sync::Arc<tokio::sync::Semaphore>,
+) -> Result<CallerRequest, RefusalReason> {
+    let mut permits = Vec::new();
+    let body = read_body(body, max_body, memory, &mut permits).await?;
+    let target = head
+        .uri
+        .path_and_query()
+        .map_or_else(|| "/".to_owned(), |target| target.as_str().to_owned());
+    let host = head
+        .headers
+        .get(header::HOST)
+        .map_or(&b""[..], header::HeaderValue::as_bytes);
+    let fingerprint =
+        Fingerprint::of(CallerHash::of(host), head.method.as_str(), &target, &body);
+    Ok(CallerRequest {
+        headers: end_to_end(&head.headers),
+        method: head.method,
+        target,
+        body,
+        fingerprint,
+        _permits: permits,
+    })
+}
+
+async fn read_body(
+    mut body: body::Incoming,
+    max_body: usize,
+    memory: &sync::Arc<tokio::sync::Semaphore>,
+    permits: &mut Vec<tokio::sync::OwnedSemaphorePermit>,
+) -> Result<Bytes, RefusalReason> {
+    let mut collected = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| RefusalReason::BadRequest)?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if collected.len() + data.len() > max_body {
+            return Err(RefusalReason::TooLarge);
+        }
+        let units = u32::try_from(data.len().div_ceil(BUFFER_UNIT)).unwrap_or(u32::MAX);
+        let permit = sync::Arc::clone(memory)
+            .try_acquire_many_owned(units)
+            .map_err(|_| RefusalReason::GatewayFull)?;
+        permits.push(permit);
+        collected.extend_from_slice(&data);
+    }
+    Ok(collected.freeze())
+}
--- /dev/null
+++ b/crates/front/src/settings.rs
@@ -0,0 +1,64 @@
+//! Settings of the gateway process.
+
+use std::net;
+use std::path;
+
+use error_stack::Report;
+use serde::Deserialize;
+use toucanledge_settings::{SettingsError, load};
+
+/// Settings of a gateway process, in JSON with comments.
+///
+/// Everything about backend servers and classes of work comes from published facts.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FrontSettings {
+    /// Name of the VM.
+    pub name: String,
+    /// Failure domain of the VM.
+    pub failure_domain: String,
+    /// Socket address for callers' HTTP requests.
+    pub listen: net::SocketAddr,
+    /// Socket address of the readiness check.
+    pub ready_listen: net::SocketAddr,
+    /// Socket address of the status page, the metrics and the facts for peers.
+    pub status_listen: net::SocketAddr,
+    /// Port of the peers' datagrams, the same on every gateway.
+    pub peer_port: u16,
+    /// Gateways to find the others through: socket addresses of their status page.
+    pub seeds: Vec<net::SocketAddr>,
+    /// Socket address of the platform.
+    pub platform: net::SocketAddr,
+    /// Retries that the fleet may make, as a share of its requests.
+    pub retry_ratio: f64,
+    /// Retries that the fleet may make on top in a window.
+    pub retry_slack: f64,
+    /// Time between SIGTERM and SIGKILL.
+    pub stop_grace: String,
+    /// Log levels, for example `info`.
+    pub log: String,
+}
+
+/// Reads the settings of a gateway.
+///
+/// # Errors
+///
+/// Returns the first error with its line and column.
+pub fn load_front(file: impl AsRef<path::Path>) -> Result<FrontSettings, Report<SettingsError>> {
+    load(file)
+}
+
+impl FrontSettings {
+    /// Returns the address of the peers' datagrams.
+    #[must_use]
+    pub fn peer_listen(&self) -> net::SocketAddr {
+        net::SocketAddr::new(self.listen.ip(), self.peer_port)
+    }
+
+    /// Returns the addresses at which the seeds take datagrams.
+    pub fn seed_peers(&self) -> impl Iterator<Item = net::SocketAddr> {
+        self.seeds
+            .iter()
+            .map(|seed| net::SocketAddr::new(seed.ip(), self.peer_port))
+    }
+}
--- /dev/null
+++ b/crates/front/src/state.rs
@@ -0,0 +1,231 @@
+//! What a gateway believes, shared by its tasks.
+
+use std::collections;
+use std::sync;
+
+use toucanledge_core::{Fingerprint, Millis, PoolId};
+use toucanledge_steering::{
+    CrashLedger, EvidenceNote, Fact, FactLog, HealthChange, PeerId, PeerNote, PeerTable,
+    RetryBudget, ServerArena, ServerEvidence, ServerId, ServerStage, SteeringTable,
+};
+
+use crate::source::FactMeaning;
+
+/// Evidence that waits to be sent at most.
+const MAX_OUTBOX: usize = 256;
+/// Time in milliseconds for which backend servers that lapsed during an outage of the platform
+/// stay in service after its return: entries of live ones are published again within 2 s.
+const LAPSE_GRACE_MS: u64 = 2_500;
+/// Time in milliseconds without a successful read that counts as an outage of the platform.
+const OUTAGE_MS: u64 = 1_500;
+
+/// Facts, health, loads and budgets of a gateway.
+#[derive(Debug, Default)]
+pub struct FleetState {
+    /// Classes of work in force.
+    pub table: Option<sync::Arc<SteeringTable>>,
+    /// Backend servers.
+    pub servers: ServerArena,
+    /// Peers.
+    pub peers: PeerTable,
+    /// Published facts.
+    pub facts: FactLog,
+    /// Requests that crash backend servers.
+    pub crashes: CrashLedger,
+    /// Whether the own reads of the platform succeed.
+    pub reading: bool,
+    /// Whether the process is stopping.
+    pub stopping: bool,
+    budgets: collections::HashMap<PoolId, RetryBudget>,
+    outbox: Vec<EvidenceNote>,
+    dirty: collections::HashSet<ServerId>,
+    last_facts: Option<Millis>,
+    lapse_until: Millis,
+}
+
+impl FleetState {
+    /// Returns the retry budget of a pool.
+    pub fn budget(&mut self, pool: PoolId) -> &mut RetryBudget {
+        self.budgets.entry(pool).or_default()
+    }
+
+    /// Returns whether requests can be served.
+    #[must_use]
+    pub fn can_serve(&self) -> bool {
+        self.table.is_some() && self.servers.iter().next().is_some()
+    }
+
+    /// Notes that facts were confirmed by the platform or by a peer that reads it.
+    pub fn confirm_facts(&mut self, now: Millis) {
+        if let Some(last) = self.last_facts
+            && now.since(last) > OUTAGE_MS
+        {
+            log::info!(
+                "[facts] regained after_ms={} revision={}",
+                now.since(last),
+                self.facts.revision()
+            );
+            self.lapse_until = now + LAPSE_GRACE_MS;
+        }
+        self.last_facts = Some(now);
+    }
+
+    /// Takes news of published facts.
+    pub fn apply(&mut self, news: &[Fact], decode: fn(&Fact) -> FactMeaning, now: Millis) {
+        for fact in news {
+            match decode(fact) {
+                FactMeaning::Table(table) => {
+                    log::info!(
+                        "[facts] table version={} revision={} in force",
+                        table.version(),
+                        fact.revision
+                    );
+                    self.table = Some(sync::Arc::new(table));
+                }
+                FactMeaning::Server(row) => {
+                    log::info!(
+                        "[facts] server={} address={} stage={} revision={}",
+                        row.name,
+                        row.address,
+                        row.stage,
+                        fact.revision
+                    );
+                    let id = ServerId::of(&row.name);
+                    let stage = row.stage;
+                    let key = self.servers.put(row, now);
+                    let peers = self.peers.load_at(id);
+                    if let Some(entry) = self.servers.get_mut(key) {
+                        entry.peers = peers;
+                        entry.row.stage = stage;
+                    }
+                }
+                FactMeaning::ServerGone(name) => self.delist(&name, fact.revision, now),
+                FactMeaning::Unusable(reason) => {
+                    metrics::counter!("toucanledge_unusable_facts_total").increment(1);
+                    log::warn!(
+                        "[facts] unusable key={} revision={} reason={reason}",
+                        fact.key,
+                        fact.revision
+                    );
+                    if let Some(name) = fact.key.rsplit_once('/').map(|(_, name)| name) {
+                        self.servers.remove(ServerId::of(name));
+                    }
+                }
+                FactMeaning::Other => {}
+            }
+        }
+    }
+
+    fn delist(&mut self, name: &str, revision: u64, now: Millis) {
+        let id = ServerId::of(name);
+        let ready = self
+            .servers
+            .find(id)
+            .and_then(|key| self.servers.get(key))
+            .is_some_and(|entry| entry.row.stage == ServerStage::Ready);
+        if ready && now < self.lapse_until {
+            log::info!("[facts] server={name} lapsed revision={revision}, kept for a while");
+            self.servers.leave_at(id, self.lapse_until);
+            return;
+        }
+        log::info!("[facts] server={name} gone revision={revision}");
+        self.servers.remove(id);
+    }
+
+    /// Drops what is out of date.
+    pub fn expire(&mut self, now: Millis) {
+        for (server, before, after) in self.peers.expire(now) {
+            self.servers.shift_peers(server, before, after);
+        }
+        for row in self.servers.expire(now) {
+            log::info!("[facts] server={} did not return", row.name);
+        }
+    }
+
+    /// Notes own evidence; what peers need to hear waits in the outbox.
+    ///
+    /// Returns whether peers are to hear of it at once.
+    pub fn witness(
+        &mut self,
+        server: ServerId,
+        evidence: ServerEvidence,
+        request: Option<Fingerprint>,
+        now: Millis,
+    ) -> bool {
+        let change = self.servers.note(server, evidence, now);
+        if let Some(request) = request {
+            self.crashes.note(request, server, now);
+        }
+        if change == HealthChange::Unchanged && request.is_none() {
+            return false;
+        }
+        let name: &'static str = evidence.into();
+        metrics::counter!("toucanledge_evidence_total", "kind" => name).increment(1);
+        if self.outbox.len() < MAX_OUTBOX {
+            self.outbox.push(EvidenceNote {
+                server,
+                evidence,
+                age_ms: now.0,
+                request,
+            });
+        }
+        true
+    }
+
+    /// Notes that the own requests in flight at a backend server changed.
+    pub fn touch(&mut self, server: ServerId) {
+        self.dirty.insert(server);
+    }
+
+    /// Takes a peer's message.
+    pub fn hear(&mut self, from: PeerId, note: &PeerNote, now: Millis) {
+        let Some(shifts) = self.peers.hear(from, note, now) else {
+            return;
+        };
+        for (server, before, after) in shifts {
+            self.servers.shift_peers(server, before, after);
+        }
+        for told in &note.evidence {
+            let at = Millis(now.0.saturating_sub(told.age_ms));
+            self.servers.note(told.server, told.evidence, at);
+            if let Some(request) = told.request {
+                self.crashes.note(request, told.server, at);
+            }
+        }
+    }
+
+    /// Returns the evidence that waits, with its age.
+    pub fn take_evidence(&mut self, now: Millis) -> Vec<EvidenceNote> {
+        let mut evidence = std::mem::take(&mut self.outbox);
+        for note in &mut evidence {
+            note.age_ms = now.since(Millis(note.age_ms));
+        }
+        evidence
+    }
+
+    /// Returns the own requests in flight at the backend servers where they changed.
+    pub fn take_loads(&mut self) -> Vec<(ServerId, u32)> {
+        let dirty = std::mem::take(&mut self.dirty);
+        dirty
+            .into_iter()
+            .map(|server| (server, self.own_load(server)))
+            .collect()
+    }
+
+    /// Returns all own requests in flight by backend server.
+    #[must_use]
+    pub fn all_loads(&self) -> Vec<(ServerId, u32)> {
+        self.servers
+            .iter()
+            .filter(|(_, entry)| entry.own > 0)
+            .map(|(_, entry)| (ServerId::of(&entry.row.name), entry.own))
+            .collect()
+    }
+
+    fn own_load(&self, server: ServerId) -> u32 {
+        self.servers
+            .find(server)
+            .and_then(|key| self.servers.get(key))
+            .map_or(0, |entry| entry.own)
+    }
+}
--- /dev/null
+++ b/crates/steering/src/arena.rs
@@ -0,0 +1,164 @@
+//! All backend servers that a gateway knows.
+
+use std::collections;
+
+use slotmap::SlotMap;
+use toucanledge_core::{Millis, PoolId};
+
+use crate::health::{HealthChange, ServerEvidence, ServerHealth};
+use crate::row::{ServerId, ServerRow, ServerStage};
+
+slotmap::new_key_type! {
+    /// Key of a backend server; a removed server's key is never valid again.
+    pub struct ServerKey;
+}
+
+/// A backend server with what is known about it.
+#[derive(Clone, Debug)]
+pub struct ServerEntry {
+    /// Published row.
+    pub row: ServerRow,
+    /// Health as the fleet saw it.
+    pub health: ServerHealth,
+    /// Requests of this gateway in flight.
+    pub own: u32,
+    /// Requests of the peers in flight, as they told.
+    pub peers: u32,
+    /// When its slow start ends.
+    pub cold_until: Millis,
+    /// Trial requests of this gateway in flight.
+    pub trials: u32,
+    /// When it is to be dropped although it is still listed as ready.
+    pub leave_at: Option<Millis>,
+}
+
+/// Backend servers by key, name and pool.
+#[derive(Clone, Debug, Default)]
+pub struct ServerArena {
+    entries: SlotMap<ServerKey, ServerEntry>,
+    ids: collections::HashMap<ServerId, ServerKey>,
+    pools: collections::HashMap<PoolId, Vec<ServerKey>>,
+}
+
+impl ServerArena {
+    /// Takes a published row; a restarted backend server loses its earlier health.
+    pub fn put(&mut self, row: ServerRow, now: Millis) -> ServerKey {
+        let id = ServerId::of(&row.name);
+        if let Some(key) = self.ids.get(&id).copied()
+            && let Some(entry) = self.entries.get_mut(key)
+        {
+            let same = entry.row.born == row.born
+                && entry.row.address == row.address
+                && entry.row.pool == row.pool;
+            if same {
+                entry.cold_until = now + row.cold_ms;
+                entry.leave_at = None;
+                entry.row = row;
+                return key;
+            }
+            self.remove(id);
+        }
+        let pool = row.pool;
+        let entry = ServerEntry {
+            cold_until: now + row.cold_ms,
+            row,
+            health: ServerHealth::default(),
+            own: 0,
+            peers: 0,
+            trials: 0,
+            leave_at: None,
+        };
+        let key = self.entries.insert(entry);
+        self.ids.insert(id, key);
+        self.pools.entry(pool).or_default().push(key);
+        key
+    }
+
+    /// Drops a backend server and returns its row.
+    pub fn remove(&mut self, id: ServerId) -> Option<ServerRow> {
+        let key = self.ids.remove(&id)?;
+        let entry = self.entries.remove(key)?;
+        if let Some(keys) = self.pools.get_mut(&entry.row.pool) {
+            keys.retain(|other| *other != key);
+        }
+        Some(entry.row)
+    }
+
+    /// Keeps a backend server that was delisted in service until a time.
+    pub fn leave_at(&mut self, id: ServerId, at: Millis) {
+        if let Some(entry) = self.ids.get(&id).and_then(|key| self.entries.get_mut(*key)) {
+            entry.leave_at = Some(at);
+        }
+    }
+
+    /// Drops the backend servers whose time has come and returns their rows.
+    pub fn expire(&mut self, now: Millis) -> Vec<ServerRow> {
+        let due: Vec<ServerId> = self
+            .entries
+            .values()
+            .filter(|entry| entry.leave_at.is_some_and(|at| now >= at))
+            .map(|entry| ServerId::of(&entry.row.name))
+            .collect();
+        due.into_iter().filter_map(|id| self.remove(id)).collect()
+    }
+
+    /// Returns a backend server.
+    #[must_use]
+    pub fn get(&self, key: ServerKey) -> Option<&ServerEntry> {
+        self.entries.get(key)
+    }
+
+    /// Returns a backend server to change it.
+    pub fn get_mut(&mut self, key: ServerKey) -> Option<&mut ServerEntry> {
+        self.entries.get_mut(key)
+    }
+
+    /// Returns the key of a backend server.
+    #[must_use]
+    pub fn find(&self, id: ServerId) -> Option<ServerKey> {
+        self.ids.get(&id).copied()
+    }
+
+    /// Returns the backend servers of a pool.
+    pub fn pool(&self, pool: PoolId) -> impl Iterator<Item = (ServerKey, &ServerEntry)> {
+        self.pools
+            .get(&pool)
+            .into_iter()
+            .flatten()
+            .filter_map(|key| Some((*key, self.entries.get(*key)?)))
+    }
+
+    /// Returns all backend servers.
+    pub fn iter(&self) -> impl Iterator<Item = (ServerKey, &ServerEntry)> {
+        self.entries.iter()
+    }
+
+    /// Takes evidence on a backend server.
+    pub fn note(&mut self, id: ServerId, evidence: ServerEvidence, at: Millis) -> HealthChange {
+        match self.ids.get(&id).and_then(|key| self.entries.get_mut(*key)) {
+            Some(entry) => entry.health.note(evidence, at),
+            None => HealthChange::Unchanged,
+        }
+    }
+
+    /// Changes the requests that peers have in flight at a backend server.
+    pub fn shift_peers(&mut self, id: ServerId, from: u32, to: u32) {
+        if let Some(entry) = self.ids.get(&id).and_then(|key| self.entries.get_mut(*key)) {
+            entry.peers = (entry.peers + to).saturating_sub(from);
+        }
+    }
+}
+
+impl ServerEntry {
+    /// Returns the requests in flight that the gateway knows of.
+    #[must_use]
+    pub fn load(&self) -> u32 {
+        self.own + self.peers
+    }
+
+    /// Returns whether new work may go there at all.
+    #[must_use]
+    pub fn open(&self) -> bool {
+        self.row.stage == ServerStage::Ready
+    }
+}
--- /dev/null
+++ b/crates/steering/src/choice.rs
@@ -0,0 +1,143 @@
+//! The choice of a backend server for one request.
+
+use rand::Rng;
+use toucanledge_core::{Millis, PoolId};
+use toucanledge_table::RepeatRule;
+
+use crate::arena::{ServerArena, ServerEntry, ServerKey};
+
+/// Load, in requests a slot, that a server in another failure domain seems to have on top; it keeps
+/// work inside the domain until the domain's servers have about this much more to do.
+const DOMAIN_PENALTY: f64 = 0.3;
+/// Load, in requests a slot, that a server in its slow start seems to have on top.
+const COLD_PENALTY: f64 = 0.5;
+/// Random load, in requests a slot, that keeps gateways with the same facts from one choice.
+const JITTER: f64 = 0.25;
+/// Share of repeatable requests that try a suspect when one is due.
+const TRIAL_SHARE: f64 = 0.5;
+/// Known load, in requests a slot, from which a suspect is not tried.
+const TRIAL_LOAD: u32 = 1;
+
+/// What a request needs of a backend server.
+#[derive(Clone, Copy, Debug)]
+pub struct ChoicePlan<'a> {
+    /// Pool that runs the request.
+    pub pool: PoolId,
+    /// Whether the work may be repeated.
+    pub repeat: RepeatRule,
+    /// Whether another try is left if this one fails.
+    pub retry_left: bool,
+    /// Backend servers that were tried.
+    pub tried: &'a [ServerKey],
+    /// Failure domain of the gateway.
+    pub domain: &'a str,
+}
+
+/// Why no backend server was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ChoiceRefusal {
+    /// No backend server of the pool takes work.
+    NoServer,
+    /// Every backend server of the pool was tried.
+    AllTried,
+}
+
+impl ServerArena {
+    /// Chooses a backend server; the flag tells whether the request is a trial of a suspect.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is none.
+    pub fn choose(
+        &self,
+        plan: &ChoicePlan<'_>,
+        now: Millis,
+        rng: &mut impl Rng,
+    ) -> Result<(ServerKey, bool), ChoiceRefusal> {
+        let open: Vec<(ServerKey, &ServerEntry)> = self
+            .pool(plan.pool)
+            .filter(|(_, entry)| entry.open())
+            .collect();
+        if open.is_empty() {
+            return Err(ChoiceRefusal::NoServer);
+        }
+        let left: Vec<(ServerKey, &ServerEntry)> = open
+            .into_iter()
+            .filter(|(key, _)| !plan.tried.contains(key))
+            .collect();
+        if left.is_empty() {
+            return Err(ChoiceRefusal::AllTried);
+        }
+        if let Some(key) = due_trial(plan, &left, now, rng) {
+            return Ok((key, true));
+        }
+        let trusted = left
+            .iter()
+            .filter(|(_, entry)| usable(entry, now))
+            .min_by(|left, right| compare(score(plan, left.1, now, rng), score(plan, right.1, now, rng)));
+        if let Some((key, _)) = trusted {
+            return Ok((*key, false));
+        }
+        // Nothing is trusted: the failure that is longest ago is the likeliest to be over.
+        let oldest = left.iter().min_by_key(|(_, entry)| {
+            (
+                !entry.health.reachable(now),
+                entry.health.last_failure(),
+                entry.load(),
+            )
+        });
+        oldest
+            .map(|(key, _)| (*key, true))
+            .ok_or(ChoiceRefusal::AllTried)
+    }
+}
+
+fn usable(entry: &ServerEntry, now: Millis) -> bool {
+    let health = &entry.health;
+    health.reachable(now) && !health.suspect()
+}
+
+/// Returns a suspect that this request should try.
+///
+/// Repeatable work with a try left is first; work that must not repeat only goes where the absence
+/// is over, since pools without repeatable work have nothing else to find out with.
+fn due_trial(
+    plan: &ChoicePlan<'_>,
+    left: &[(ServerKey, &ServerEntry)],
+    now: Millis,
+    rng: &mut impl Rng,
+) -> Option<ServerKey> {
+    let may_lose = plan.repeat == RepeatRule::Repeatable && plan.retry_left;
+    let due = left.iter().filter(|(_, entry)| {
+        let health = &entry.health;
+        let time = if may_lose {
+            health.trial_due(now)
+        } else {
+            health.absence_over(now)
+        };
+        health.suspect()
+            && health.reachable(now)
+            && time
+            && entry.trials == 0
+            && entry.load() < TRIAL_LOAD * entry.row.slots
+    });
+    let (key, _) = due.min_by_key(|(_, entry)| entry.health.last_failure())?;
+    let share = if may_lose { TRIAL_SHARE } else { 0.1 };
+    rng.random_bool(share).then_some(*key)
+}
+
+fn score(plan: &ChoicePlan<'_>, entry: &ServerEntry, now: Millis, rng: &mut impl Rng) -> f64 {
+    let slots = f64::from(entry.row.slots.max(1));
+    let mut score = f64::from(entry.load()) / slots + rng.random::<f64>() * JITTER;
+    if *entry.row.domain != *plan.domain {
+        score += DOMAIN_PENALTY;
+    }
+    if now < entry.cold_until {
+        score += COLD_PENALTY;
+    }
+    score
+}
+
+fn compare(left: f64, right: f64) -> std::cmp::Ordering {
+    left.total_cmp(&right)
+}
--- /dev/null
+++ b/crates/steering/src/health.rs
@@ -0,0 +1,158 @@
+//! Health of a backend server, judged by the requests of the whole fleet.
+
+use toucanledge_core::Millis;
+
+/// Time in milliseconds before the first trial of a suspect; the answers of requests that were
+/// already in flight arrive meanwhile.
+const FIRST_TRIAL_MS: u64 = 250;
+/// Time in milliseconds between further trials by repeatable work.
+const TRIAL_MS: u64 = 500;
+/// Time in milliseconds that work that must not repeat stays away after one failure.
+const ABSENCE_MS: u64 = 1_000;
+/// The same after several failures in a row; episodes of failing last 4 to 12 s.
+const LONG_ABSENCE_MS: u64 = 5_000;
+/// Time in milliseconds for which one gateway avoids a path on which no connection opened.
+const PATH_ABSENCE_MS: u64 = 1_000;
+/// Greatest doubling of the path's absence.
+const MAX_PATH_DOUBLINGS: u32 = 3;
+
+/// What a request showed about the backend server that it was sent to.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    Hash,
+    strum::Display,
+    strum::IntoStaticStr,
+    strum::FromRepr,
+)]
+#[repr(u8)]
+#[strum(serialize_all = "kebab-case")]
+pub enum ServerEvidence {
+    /// It answered as it should.
+    Success = 0,
+    /// It answered with a failure of its own.
+    OwnError = 1,
+    /// It broke the connection off.
+    Broken = 2,
+    /// Its answer was malformed or belonged to another request.
+    BadAnswer = 3,
+    /// It gave no answer in time.
+    Silent = 4,
+    /// It refused the connection.
+    Refused = 5,
+    /// It said that it is full.
+    Full = 6,
+}
+
+/// What a piece of evidence changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HealthChange {
+    /// The backend server became a suspect.
+    Suspected,
+    /// The backend server stays a suspect.
+    StillSuspect,
+    /// The backend server is trusted again.
+    Cleared,
+    /// Nothing that peers need to hear.
+    Unchanged,
+}
+
+/// Health of one backend server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ServerHealth {
+    failures: u32,
+    last_failure: Millis,
+    last_success: Millis,
+    path_failures: u32,
+    path_until: Millis,
+}
+
+impl ServerHealth {
+    /// Takes evidence that arose at `at`.
+    pub fn note(&mut self, evidence: ServerEvidence, at: Millis) -> HealthChange {
+        match evidence {
+            ServerEvidence::Full => HealthChange::Unchanged,
+            ServerEvidence::Success => {
+                self.path_failures = 0;
+                self.path_until = Millis::default();
+                self.last_success = self.last_success.max(at);
+                if self.failures == 0 || at < self.last_failure {
+                    return HealthChange::Unchanged;
+                }
+                self.failures = 0;
+                HealthChange::Cleared
+            }
+            _ => {
+                self.last_failure = self.last_failure.max(at);
+                self.failures = self.failures.saturating_add(1);
+                if self.failures == 1 {
+                    HealthChange::Suspected
+                } else {
+                    HealthChange::StillSuspect
+                }
+            }
+        }
+    }
+
+    /// Notes that this gateway could not open a connection in time.
+    pub fn note_path(&mut self, now: Millis) {
+        let doublings = self.path_failures.min(MAX_PATH_DOUBLINGS);
+        self.path_until = now + (PATH_ABSENCE_MS << doublings);
+        self.path_failures += 1;
+    }
+
+    /// Returns whether the last evidence was a failure.
+    #[must_use]
+    pub fn suspect(&self) -> bool {
+        self.failures > 0
+    }
+
+    /// Returns failures since the last success.
+    #[must_use]
+    pub fn failures(&self) -> u32 {
+        self.failures
+    }
+
+    /// Returns when the last failure arose.
+    #[must_use]
+    pub fn last_failure(&self) -> Millis {
+        self.last_failure
+    }
+
+    /// Returns when the last success arose.
+    #[must_use]
+    pub fn last_success(&self) -> Millis {
+        self.last_success
+    }
+
+    /// Returns whether connections of this gateway open there, as far as it knows.
+    #[must_use]
+    pub fn reachable(&self, now: Millis) -> bool {
+        now >= self.path_until
+    }
+
+    /// Returns whether repeatable work may try a suspect.
+    #[must_use]
+    pub fn trial_due(&self, now: Millis) -> bool {
+        let pause = if self.failures <= 1 {
+            FIRST_TRIAL_MS
+        } else {
+            TRIAL_MS
+        };
+        now.since(self.last_failure) >= pause
+    }
+
+    /// Returns whether work that must not repeat may try a suspect.
+    #[must_use]
+    pub fn absence_over(&self, now: Millis) -> bool {
+        let absence = if self.failures <= 1 {
+            ABSENCE_MS
+        } else {
+            LONG_ABSENCE_MS
+        };
+        now.since(self.last_failure) >= absence
+    }
+}
