feat(steering): prefer the most recent success for work that must not repeat

Ruled out: slow news; evidence reaches all gateways within 10 ms.

Change: successes are told inside the failure domain; work that must not repeat goes where a success is most recent and a slot is free; repeatable work with retry budget explores; after two failures two successes clear a suspect; trials back off.

--- a/crates/front/src/engine.rs
+++ b/crates/front/src/engine.rs
@@ -250,10 +250,17 @@
         if state.crashes.suspected(routed.request.fingerprint, now) {
             return Err(RefusalReason::CrashSuspect);
         }
+        let repeatable = routed.route.repeat == RepeatRule::Repeatable;
+        let tries_left = sends + 1 < routed.route.max_tries;
+        let retry_left = repeatable && tries_left && state.budget(routed.pool).any();
+        if repeatable {
+            state.note_explorer(routed.pool, now);
+        }
         let plan = ChoicePlan {
             pool: routed.pool,
             repeat: routed.route.repeat,
-            retry_left: sends + 1 < routed.route.max_tries,
+            retry_left,
+            explored: state.explored(routed.pool, now),
             tried,
             domain: &self.settings.failure_domain,
         };
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -129,11 +129,11 @@
 ) {
     let now = engine.clock.now();
     let own = domain_hash(&engine.settings.failure_domain);
-    let (loads, evidence, near, far) = {
+    let (loads, evidence, near_evidence, near, far) = {
         let mut state = engine.state();
         let changed = state.take_loads();
         let loads = if beat { state.all_loads() } else { changed };
-        let evidence = state.take_evidence(now);
+        let (evidence, near_evidence) = state.take_evidence(now);
         let mut near = Vec::new();
         let mut far = Vec::new();
         for (peer, known) in state.peers.known() {
@@ -143,7 +143,7 @@
                 far.push(peer);
             }
         }
-        (loads, evidence, near, far)
+        (loads, evidence, near_evidence, near, far)
     };
     if !beat && loads.is_empty() && evidence.is_empty() {
         return;
@@ -152,11 +152,13 @@
     *sequence += 1;
     note.full = beat;
     note.loads = loads;
-    note.evidence = evidence;
+    note.evidence.clone_from(&evidence);
+    note.evidence.extend(near_evidence);
     let datagram = note::encode_note(&note);
     for peer in near {
         send(socket, &datagram, peer).await;
     }
+    note.evidence = evidence;
     let far_beat = beat && beats.is_multiple_of(FAR_BEATS);
     if far_beat || !note.evidence.is_empty() {
         note.loads.clear();
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -16,6 +16,8 @@
 /// Time in milliseconds for which backend servers that lapsed during an outage of the platform
 /// stay in service after its return: entries of live ones are published again within 2 s.
 const LAPSE_GRACE_MS: u64 = 2_500;
+/// Time in milliseconds for which repeatable work that came by counts as exploring its pool.
+const EXPLORED_MS: u64 = 5_000;
 /// Time in milliseconds without a successful read that counts as an outage of the platform.
 const OUTAGE_MS: u64 = 1_500;
 
@@ -38,6 +40,8 @@
     pub stopping: bool,
     budgets: collections::HashMap<PoolId, RetryBudget>,
     outbox: Vec<EvidenceNote>,
+    near_outbox: Vec<EvidenceNote>,
+    explored: collections::HashMap<PoolId, Millis>,
     dirty: collections::HashSet<ServerId>,
     last_facts: Option<Millis>,
     lapse_until: Millis,
@@ -157,6 +161,14 @@
             self.crashes.note(request, server, now);
         }
         if change == HealthChange::Unchanged && request.is_none() {
+            if evidence == ServerEvidence::Success && self.near_outbox.len() < MAX_OUTBOX {
+                self.near_outbox.push(EvidenceNote {
+                    server,
+                    evidence,
+                    age_ms: now.0,
+                    request: None,
+                });
+            }
             return false;
         }
         let name: &'static str = evidence.into();
@@ -194,13 +206,28 @@
         }
     }
 
-    /// Returns the evidence that waits, with its age.
-    pub fn take_evidence(&mut self, now: Millis) -> Vec<EvidenceNote> {
+    /// Notes that repeatable work for a pool came by, which finds out about its suspects.
+    pub fn note_explorer(&mut self, pool: PoolId, now: Millis) {
+        self.explored.insert(pool, now);
+    }
+
+    /// Returns whether repeatable work for a pool came by of late.
+    #[must_use]
+    pub fn explored(&self, pool: PoolId, now: Millis) -> bool {
+        self.explored
+            .get(&pool)
+            .is_some_and(|at| now.since(*at) < EXPLORED_MS)
+    }
+
+    /// Returns the evidence that waits, with its age: what all peers need, and what is only for
+    /// those in the failure domain.
+    pub fn take_evidence(&mut self, now: Millis) -> (Vec<EvidenceNote>, Vec<EvidenceNote>) {
         let mut evidence = std::mem::take(&mut self.outbox);
-        for note in &mut evidence {
+        let mut near = std::mem::take(&mut self.near_outbox);
+        for note in evidence.iter_mut().chain(&mut near) {
             note.age_ms = now.since(Millis(note.age_ms));
         }
-        evidence
+        (evidence, near)
     }
 
     /// Returns the own requests in flight at the backend servers where they changed.
--- a/crates/steering/src/budget.rs
+++ b/crates/steering/src/budget.rs
@@ -2,9 +2,9 @@
 
 /// Part of the budget's ratio that a gateway uses; the rest covers requests that were counted but
 /// never reached the pool.
-const RATIO_SHARE: f64 = 0.9;
+const RATIO_SHARE: f64 = 0.95;
 /// Part of the fleet's fixed allowance that all gateways together use.
-const SLACK_SHARE: f64 = 0.8;
+const SLACK_SHARE: f64 = 0.9;
 /// Most retries that a gateway may save up, beside its part of the fixed allowance.
 const MAX_SAVED: f64 = 4.0;
 
@@ -38,6 +38,12 @@
         allowed
     }
 
+    /// Returns whether a retry is left.
+    #[must_use]
+    pub fn any(&self) -> bool {
+        self.tokens >= 1.0
+    }
+
     /// Returns a retry that was taken and not used.
     pub fn give_back(&mut self) {
         self.tokens += 1.0;
--- a/crates/steering/src/choice.rs
+++ b/crates/steering/src/choice.rs
@@ -8,15 +8,22 @@
 
 /// Load, in requests a slot, that a server in another failure domain seems to have on top; it keeps
 /// work inside the domain until the domain's servers have about this much more to do.
-const DOMAIN_PENALTY: f64 = 0.3;
+const DOMAIN_PENALTY: f64 = 0.6;
 /// Load, in requests a slot, that a server in its slow start seems to have on top.
 const COLD_PENALTY: f64 = 0.5;
 /// Random load, in requests a slot, that keeps gateways with the same facts from one choice.
-const JITTER: f64 = 0.25;
+const JITTER: f64 = 0.1;
+/// Share of a server's slots up to which more load makes it no worse a choice.
+const FREE_SHARE: f64 = 0.7;
+/// Seconds since a server's last success that weigh as much as a full load of all slots. Episodes of
+/// failing begin at a server about every 30 s, so the risk grows with the age of its last success.
+const PROOF_AGE_S: f64 = 4.0;
+/// Age of a last success in seconds from which it counts as unknown.
+const MAX_PROOF_AGE_S: f64 = 2.0;
 /// Share of repeatable requests that try a suspect when one is due.
 const TRIAL_SHARE: f64 = 0.5;
-/// Known load, in requests a slot, from which a suspect is not tried.
-const TRIAL_LOAD: u32 = 1;
+/// Share of other requests that try a suspect whose absence is over.
+const LATE_TRIAL_SHARE: f64 = 0.1;
 
 /// What a request needs of a backend server.
 #[derive(Clone, Copy, Debug)]
@@ -27,6 +34,8 @@
     pub repeat: RepeatRule,
     /// Whether another try is left if this one fails.
     pub retry_left: bool,
+    /// Whether repeatable work of other requests finds out which suspects are well again.
+    pub explored: bool,
     /// Backend servers that were tried.
     pub tried: &'a [ServerKey],
     /// Failure domain of the gateway.
@@ -113,29 +122,45 @@
         let time = if may_lose {
             health.trial_due(now)
         } else {
-            health.absence_over(now)
+            !plan.explored && health.absence_over(now)
         };
         health.suspect()
             && health.reachable(now)
             && time
             && entry.trials == 0
-            && entry.load() < TRIAL_LOAD * entry.row.slots
+            && entry.load() < entry.row.slots
     });
     let (key, _) = due.min_by_key(|(_, entry)| entry.health.last_failure())?;
-    let share = if may_lose { TRIAL_SHARE } else { 0.1 };
+    let share = if may_lose {
+        TRIAL_SHARE
+    } else {
+        LATE_TRIAL_SHARE
+    };
     rng.random_bool(share).then_some(*key)
 }
 
+/// Returns how bad a choice a trusted server is.
+///
+/// Work that must not repeat goes where a success is most recent, as long as a slot is free there;
+/// repeatable work goes to the others, and so finds the servers that began to fail.
 fn score(plan: &ChoicePlan<'_>, entry: &ServerEntry, now: Millis, rng: &mut impl Rng) -> f64 {
     let slots = f64::from(entry.row.slots.max(1));
-    let mut score = f64::from(entry.load()) / slots + rng.random::<f64>() * JITTER;
+    let load = f64::from(entry.load() + 1) / slots;
+    let mut score = (load - FREE_SHARE).max(0.0) * 4.0 + rng.random::<f64>() * JITTER;
     if *entry.row.domain != *plan.domain {
         score += DOMAIN_PENALTY;
     }
     if now < entry.cold_until {
         score += COLD_PENALTY;
     }
-    score
+    let age = u32::try_from(now.since(entry.health.last_success())).unwrap_or(u32::MAX);
+    let age = (f64::from(age) / 1000.0).min(MAX_PROOF_AGE_S);
+    let may_lose = plan.repeat == RepeatRule::Repeatable && plan.retry_left;
+    if may_lose {
+        score + (MAX_PROOF_AGE_S - age) / PROOF_AGE_S
+    } else {
+        score + age / PROOF_AGE_S
+    }
 }
 
 fn compare(left: f64, right: f64) -> std::cmp::Ordering {
--- a/crates/steering/src/health.rs
+++ b/crates/steering/src/health.rs
@@ -5,12 +5,17 @@
 /// Time in milliseconds before the first trial of a suspect; the answers of requests that were
 /// already in flight arrive meanwhile.
 const FIRST_TRIAL_MS: u64 = 250;
-/// Time in milliseconds between further trials by repeatable work.
-const TRIAL_MS: u64 = 500;
+/// Greatest doubling of that time after further failures; an episode of failing lasts 4 to 12 s.
+const MAX_TRIAL_DOUBLINGS: u32 = 2;
+/// Failures in a row from which one success does not clear a suspect: in an episode of failing, up
+/// to a tenth of the requests succeed.
+const EPISODE_FAILURES: u32 = 2;
+/// Successes in a row that clear a suspect after so many failures.
+const EPISODE_SUCCESSES: u32 = 2;
 /// Time in milliseconds that work that must not repeat stays away after one failure.
-const ABSENCE_MS: u64 = 1_000;
+const ABSENCE_MS: u64 = 3_000;
 /// The same after several failures in a row; episodes of failing last 4 to 12 s.
-const LONG_ABSENCE_MS: u64 = 5_000;
+const LONG_ABSENCE_MS: u64 = 6_000;
 /// Time in milliseconds for which one gateway avoids a path on which no connection opened.
 const PATH_ABSENCE_MS: u64 = 1_000;
 /// Greatest doubling of the path's absence.
@@ -64,6 +69,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ServerHealth {
     failures: u32,
+    successes: u32,
     last_failure: Millis,
     last_success: Millis,
     path_failures: u32,
@@ -82,11 +88,17 @@
                 if self.failures == 0 || at < self.last_failure {
                     return HealthChange::Unchanged;
                 }
+                self.successes += 1;
+                if self.failures >= EPISODE_FAILURES && self.successes < EPISODE_SUCCESSES {
+                    return HealthChange::StillSuspect;
+                }
                 self.failures = 0;
+                self.successes = 0;
                 HealthChange::Cleared
             }
             _ => {
                 self.last_failure = self.last_failure.max(at);
+                self.successes = 0;
                 self.failures = self.failures.saturating_add(1);
                 if self.failures == 1 {
                     HealthChange::Suspected
@@ -137,11 +149,11 @@
     /// Returns whether repeatable work may try a suspect.
     #[must_use]
     pub fn trial_due(&self, now: Millis) -> bool {
-        let pause = if self.failures <= 1 {
-            FIRST_TRIAL_MS
-        } else {
-            TRIAL_MS
-        };
+        if self.successes > 0 {
+            return true;
+        }
+        let doublings = self.failures.saturating_sub(1).min(MAX_TRIAL_DOUBLINGS);
+        let pause = FIRST_TRIAL_MS << doublings;
         now.since(self.last_failure) >= pause
     }
 
