feat(front): wait for the first facts and avoid servers that refuse work

Change: a request waits up to 300 ms for the first facts; the first read starts within 60 ms; a server that refused work is avoided for 0.7 s; a refused caller may come back after 50 ms.

--- a/crates/front/src/engine.rs
+++ b/crates/front/src/engine.rs
@@ -34,7 +34,10 @@
 /// Pause in milliseconds before servers that refused are tried again.
 const AGAIN_MS: u64 = 40;
 /// Time in milliseconds after which a refused caller may come back.
-const COME_BACK_MS: u64 = 150;
+const COME_BACK_MS: u64 = 50;
+/// Time in milliseconds for which a request waits for the first facts of a gateway that just
+/// started; a read of the platform takes a few milliseconds.
+const FIRST_FACTS_MS: u64 = 300;
 /// The same where a gateway has no published facts or no backend server.
 const NO_FACTS_MS: u64 = 400;
 
@@ -53,6 +56,8 @@
     pub greetings_due: sync::atomic::AtomicBool,
     /// Wakes the task that reads facts.
     pub facts_wanted: tokio::sync::Notify,
+    /// Wakes requests that came before the first facts.
+    pub facts_came: tokio::sync::Notify,
     state: sync::Mutex<FleetState>,
     memory: sync::Arc<tokio::sync::Semaphore>,
 }
@@ -83,6 +88,7 @@
             outbound: tokio::sync::Notify::new(),
             greetings_due: sync::atomic::AtomicBool::new(false),
             facts_wanted: tokio::sync::Notify::new(),
+            facts_came: tokio::sync::Notify::new(),
             state: sync::Mutex::default(),
             memory: sync::Arc::new(tokio::sync::Semaphore::new(BUFFER_KIB)),
         }
@@ -125,6 +131,23 @@
         answer
     }
 
+    /// Waits for the first facts, which a gateway that just started has within milliseconds.
+    async fn wait_for_facts(&self) {
+        let came = async {
+            loop {
+                let notified = self.facts_came.notified();
+                if self.state().can_serve() {
+                    return;
+                }
+                notified.await;
+            }
+        };
+        let limit = time::Duration::from_millis(FIRST_FACTS_MS);
+        if tokio::time::timeout(limit, came).await.is_err() {
+            metrics::counter!("toucanledge_waits_for_facts_in_vain_total").increment(1);
+        }
+    }
+
     async fn admit(
         &self,
         head: hyper::http::request::Parts,
@@ -133,6 +156,7 @@
         trace: &mut RequestTrace,
     ) -> Result<RoutedRequest, RefusalReason> {
         request::check_head(&head)?;
+        self.wait_for_facts().await;
         let table = self.state().table.clone().ok_or(RefusalReason::NoTable)?;
         trace.version = table.version();
         let host = head
--- a/crates/front/src/reader.rs
+++ b/crates/front/src/reader.rs
@@ -18,7 +18,7 @@
 use crate::source::{FactBatch, FactSource, SourceFailure};
 
 /// Greatest random pause before the first read, in which a peer may be heard that has the facts.
-const START_PAUSE_MS: u64 = 250;
+const START_PAUSE_MS: u64 = 60;
 /// Pause after a change, in which further changes gather for one call.
 const GATHER: time::Duration = time::Duration::from_millis(200);
 /// First pause after a failed read.
@@ -140,6 +140,7 @@
     *listing = false;
     if changed {
         engine.outbound.notify_one();
+        engine.facts_came.notify_waiters();
     }
     Ok(changed)
 }
@@ -179,6 +180,7 @@
             let mut state = engine.state();
             let news = state.facts.merge(batch.facts, batch.revision);
             state.apply(&news, source.decode, now);
+            engine.facts_came.notify_waiters();
             true
         }
         Ok(Err(report)) => {
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -161,7 +161,7 @@
             self.crashes.note(request, server, now);
         }
         if change == HealthChange::Unchanged && request.is_none() {
-            if evidence == ServerEvidence::Success && self.near_outbox.len() < MAX_OUTBOX {
+            if self.near_outbox.len() < MAX_OUTBOX {
                 self.near_outbox.push(EvidenceNote {
                     server,
                     evidence,
--- a/crates/steering/src/choice.rs
+++ b/crates/steering/src/choice.rs
@@ -11,6 +11,8 @@
 const DOMAIN_PENALTY: f64 = 0.6;
 /// Load, in requests a slot, that a server in its slow start seems to have on top.
 const COLD_PENALTY: f64 = 0.5;
+/// Load, in requests a slot, that a server that refused work of late seems to have on top.
+const REFUSING_PENALTY: f64 = 1.5;
 /// Random load, in requests a slot, that keeps gateways with the same facts from one choice.
 const JITTER: f64 = 0.1;
 /// Share of a server's slots up to which more load makes it no worse a choice.
@@ -153,6 +155,9 @@
     if now < entry.cold_until {
         score += COLD_PENALTY;
     }
+    if entry.health.refusing(now) {
+        score += REFUSING_PENALTY;
+    }
     let age = u32::try_from(now.since(entry.health.last_success())).unwrap_or(u32::MAX);
     let age = (f64::from(age) / 1000.0).min(MAX_PROOF_AGE_S);
     let may_lose = plan.repeat == RepeatRule::Repeatable && plan.retry_left;
--- a/crates/steering/src/health.rs
+++ b/crates/steering/src/health.rs
@@ -21,6 +21,9 @@
 /// Greatest doubling of the path's absence.
 const MAX_PATH_DOUBLINGS: u32 = 3;
 
+/// Time in milliseconds for which a server that refused work is avoided where others are trusted.
+const FULL_MS: u64 = 700;
+
 /// What a request showed about the backend server that it was sent to.
 #[derive(
     Clone,
@@ -72,6 +75,7 @@
     successes: u32,
     last_failure: Millis,
     last_success: Millis,
+    last_full: Option<Millis>,
     path_failures: u32,
     path_until: Millis,
 }
@@ -80,7 +84,10 @@
     /// Takes evidence that arose at `at`.
     pub fn note(&mut self, evidence: ServerEvidence, at: Millis) -> HealthChange {
         match evidence {
-            ServerEvidence::Full => HealthChange::Unchanged,
+            ServerEvidence::Full => {
+                self.last_full = self.last_full.max(Some(at));
+                HealthChange::Unchanged
+            }
             ServerEvidence::Success => {
                 self.path_failures = 0;
                 self.path_until = Millis::default();
@@ -122,6 +129,12 @@
         self.failures > 0
     }
 
+    /// Returns whether it refused work of late.
+    #[must_use]
+    pub fn refusing(&self, now: Millis) -> bool {
+        self.last_full.is_some_and(|at| now.since(at) < FULL_MS)
+    }
+
     /// Returns failures since the last success.
     #[must_use]
     pub fn failures(&self) -> u32 {
