fix(front): replace a silent or refused reader within the drain time

A follower whose reader lost power noticed after 1.6 s, and a gap of 1.5 s in its news counted as an outage of the platform, so that servers delisted after it were kept for 2.5 s more.

Change: readers beat every 200 ms and are replaced after 700 ms of silence; gains and losses of the platform are told at once; entries can have lapsed only after an outage of 3 s; a gateway that the platform turns away follows any peer that reads.

--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -17,6 +17,9 @@
 const GATHER: time::Duration = time::Duration::from_millis(4);
 /// Time between two heartbeats inside the failure domain, in milliseconds.
 const NEAR_BEAT_MS: u64 = 400;
+/// Time between two heartbeats of a gateway that reads the platform, whose silence others must
+/// notice well within the 2 s in which leaving backend servers must be known.
+const READER_BEAT_MS: u64 = 200;
 /// Heartbeats inside the failure domain for one to other failure domains, whose bytes are dear.
 const FAR_BEATS: u64 = 5;
 /// Time in milliseconds between two greetings of seeds that are not heard.
@@ -56,15 +59,17 @@
     told: &PeerNote,
 ) {
     let now = engine.clock.now();
-    let (unknown, behind) = {
+    let (unknown, look) = {
         let mut state = engine.state();
-        let unknown = !state.peers.known().any(|(peer, _)| peer == from);
+        let before = state.peers.known().find(|(peer, _)| *peer == from);
+        let unknown = before.is_none();
+        let turned = before.is_some_and(|(_, before)| before.reading != told.reading);
         state.hear(from, told, now);
         let near = told.domain == domain_hash(&engine.settings.failure_domain);
-        let behind = near && told.reading && told.revision > state.facts.revision();
-        (unknown, behind)
+        let behind = told.reading && told.revision > state.facts.revision();
+        (unknown, near && (behind || turned))
     };
-    if behind {
+    if look {
         engine.facts_wanted.notify_one();
     }
     if unknown {
@@ -107,7 +112,8 @@
         engine.state().expire(now);
         let beat = now >= next_beat;
         if beat {
-            next_beat = now + NEAR_BEAT_MS;
+            let reading = engine.state().reading;
+            next_beat = now + if reading { READER_BEAT_MS } else { NEAR_BEAT_MS };
             beats += 1;
         }
         flush(&socket, &engine, &mut sequence, beat, beats).await;
@@ -129,8 +135,9 @@
 ) {
     let now = engine.clock.now();
     let own = domain_hash(&engine.settings.failure_domain);
-    let (loads, evidence, near_evidence, near, far) = {
+    let (news, loads, evidence, near_evidence, near, far) = {
         let mut state = engine.state();
+        let news = std::mem::take(&mut state.news_due);
         let changed = state.take_loads();
         let loads = if beat { state.all_loads() } else { changed };
         let (evidence, near_evidence) = state.take_evidence(now);
@@ -143,9 +150,9 @@
                 far.push(peer);
             }
         }
-        (loads, evidence, near_evidence, near, far)
+        (news, loads, evidence, near_evidence, near, far)
     };
-    if !beat && loads.is_empty() && evidence.is_empty() {
+    if !news && !beat && loads.is_empty() && evidence.is_empty() && near_evidence.is_empty() {
         return;
     }
     let mut note = base_note(engine, *sequence);
--- a/crates/front/src/reader.rs
+++ b/crates/front/src/reader.rs
@@ -75,7 +75,7 @@
         let now = engine.clock.now();
         let duty = {
             let state = engine.state();
-            toucanledge_steering::reader_duty(own, domain, &state.peers, now)
+            toucanledge_steering::reader_duty(own, state.reading, domain, &state.peers, now)
         };
         match duty {
             ReaderDuty::Follow(peer) => {
@@ -127,6 +127,7 @@
         state.confirm_facts(now);
         if !state.reading {
             log::info!("[facts] reading the platform revision={}", batch.revision);
+            state.news_due = true;
         }
         state.reading = true;
         let news = if *listing {
@@ -151,8 +152,11 @@
     let mut state = engine.state();
     if state.reading {
         log::warn!("[facts] lost the platform reason={reason}");
+        state.news_due = true;
     }
     state.reading = false;
+    drop(state);
+    engine.outbound.notify_one();
 }
 
 /// Takes facts from a peer when it has more; returns whether the own facts are as new as its.
@@ -160,6 +164,7 @@
     let now = engine.clock.now();
     let (own, theirs) = {
         let mut state = engine.state();
+        state.news_due |= state.reading;
         state.reading = false;
         state.confirm_facts(now);
         let theirs = state.peers.known().find(|(known, _)| *known == peer);
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -113,7 +113,11 @@
         }
     }
     log::info!("[front] stop announced");
-    engine.state().stopping = true;
+    {
+        let mut state = engine.state();
+        state.stopping = true;
+        state.news_due = true;
+    }
     engine.outbound.notify_one();
     phase.send_replace(StopPhase::Announced);
     tokio::time::sleep(STOP_NOTICE).await;
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -15,11 +15,12 @@
 const MAX_OUTBOX: usize = 256;
 /// Time in milliseconds for which backend servers that lapsed during an outage of the platform
 /// stay in service after its return: entries of live ones are published again within 2 s.
-const LAPSE_GRACE_MS: u64 = 2_500;
+const LAPSE_GRACE_MS: u64 = 2_000;
 /// Time in milliseconds for which repeatable work that came by counts as exploring its pool.
 const EXPLORED_MS: u64 = 5_000;
-/// Time in milliseconds without a successful read that counts as an outage of the platform.
-const OUTAGE_MS: u64 = 1_500;
+/// Time in milliseconds without a successful read from which entries may have lapsed: three
+/// heartbeats of 1.5 s, the last of which came up to one heartbeat before the outage.
+const OUTAGE_MS: u64 = 3_000;
 
 /// Facts, health, loads and budgets of a gateway.
 #[derive(Debug, Default)]
@@ -38,6 +39,8 @@
     pub reading: bool,
     /// Whether the process is stopping.
     pub stopping: bool,
+    /// Whether peers are to hear at once that `reading` or `stopping` changed.
+    pub news_due: bool,
     budgets: collections::HashMap<PoolId, RetryBudget>,
     outbox: Vec<EvidenceNote>,
     near_outbox: Vec<EvidenceNote>,
--- a/crates/steering/src/reader.rs
+++ b/crates/steering/src/reader.rs
@@ -4,8 +4,9 @@
 
 use crate::peers::{PeerId, PeerTable};
 
-/// Readers in each failure domain; one is enough while it succeeds, since another takes over.
-const READERS: usize = 1;
+/// Time in milliseconds of silence after which a reader is replaced; readers send a heartbeat every
+/// 200 ms.
+const READER_SILENT_MS: u64 = 700;
 
 /// What a gateway does about the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -18,18 +19,24 @@
 
 /// Decides whether a gateway reads the platform or follows a peer of its failure domain.
 ///
-/// The peer with the smallest address whose own reads succeed is followed. A gateway without such a
-/// peer reads by itself.
+/// Of the gateways whose reads succeed, the one with the smallest address goes on and the others
+/// follow it. A gateway whose own reads fail follows any of them, so that one that the platform
+/// turns away still hears of changes.
 #[must_use]
-pub fn reader_duty(own: PeerId, domain: u64, peers: &PeerTable, now: Millis) -> ReaderDuty {
-    let reading = peers
+pub fn reader_duty(
+    own: PeerId,
+    reading: bool,
+    domain: u64,
+    peers: &PeerTable,
+    now: Millis,
+) -> ReaderDuty {
+    let reader = peers
         .live(now)
         .filter(|(_, state)| state.domain == domain && state.reading && !state.stopping)
+        .filter(|(_, state)| now.since(state.heard) <= READER_SILENT_MS)
         .map(|(peer, _)| peer)
-        .filter(|peer| *peer < own)
-        .take(READERS)
-        .last();
-    match reading {
+        .find(|peer| !reading || *peer < own);
+    match reader {
         Some(peer) => ReaderDuty::Follow(peer),
         None => ReaderDuty::Read,
     }
