fix(front): end connections that never sent a request, read the platform in turn

Cause: two processes were killed at the end of their grace time, since the HTTP library's graceful shutdown waits for the first request of a connection that never sent one.

Change: a stopping process drops connections without a request for 0.8 s; gateways take a lost reader's place in the order of their addresses, and pause longer after a failure the higher their rank.

--- a/crates/front/src/caller.rs
+++ b/crates/front/src/caller.rs
@@ -22,6 +22,11 @@
 const MIN_HEAD_BYTES: usize = 8192;
 /// Size of the buffer for a request's head in bytes before the published limit is known.
 const DEFAULT_HEAD_BYTES: usize = 16 * 1024;
+/// Time without a request after which a stopping process drops a connection; the last answer has
+/// left by then.
+const UNUSED_TIME: time::Duration = time::Duration::from_millis(800);
+/// Time between two looks at that.
+const UNUSED_LOOK: time::Duration = time::Duration::from_millis(50);
 /// Pause after a failed accept, which usually means that file descriptors ran out.
 const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(20);
 
@@ -76,6 +81,24 @@
     }
 }
 
+/// Waits until a connection has carried no request for a while.
+///
+/// The HTTP library's graceful shutdown waits for the first request of a connection that never sent
+/// one, which would keep the process until it is killed.
+async fn unused(busy: &sync::Arc<()>) {
+    /// References without a request: the connection's own and its handler's.
+    const IDLE_REFERENCES: usize = 2;
+    let mut idle = time::Duration::ZERO;
+    while idle < UNUSED_TIME {
+        tokio::time::sleep(UNUSED_LOOK).await;
+        if sync::Arc::strong_count(busy) > IDLE_REFERENCES {
+            idle = time::Duration::ZERO;
+        } else {
+            idle += UNUSED_LOOK;
+        }
+    }
+}
+
 async fn closing(mut phase: watch::Receiver<StopPhase>) {
     if phase
         .wait_for(|phase| *phase == StopPhase::Closing)
@@ -103,11 +126,15 @@
         None => (DEFAULT_IDLE, DEFAULT_HEAD_BYTES),
     };
     let watched = phase.clone();
+    let busy = sync::Arc::new(());
+    let requests = sync::Arc::clone(&busy);
     let handler = service::service_fn(move |request| {
         let engine = sync::Arc::clone(&engine);
         let watched = watched.clone();
+        let request_guard = sync::Arc::clone(&requests);
         async move {
             let mut answer = engine.serve(request).await;
+            drop(request_guard);
             if *watched.borrow() != StopPhase::Serving {
                 let close = header::HeaderValue::from_static("close");
                 answer.headers_mut().insert(header::CONNECTION, close);
@@ -125,7 +152,10 @@
         ended = connection.as_mut() => ended,
         () = closing(phase) => {
             connection.as_mut().graceful_shutdown();
-            connection.await
+            tokio::select! {
+                ended = connection.as_mut() => ended,
+                () = unused(&busy) => return,
+            }
         }
     };
     if let Err(error) = ended {
--- a/crates/front/src/reader.rs
+++ b/crates/front/src/reader.rs
@@ -21,10 +21,15 @@
 const START_PAUSE_MS: u64 = 60;
 /// Pause after a change, in which further changes gather for one call.
 const GATHER: time::Duration = time::Duration::from_millis(200);
-/// First pause after a failed read.
-const FIRST_PAUSE: time::Duration = time::Duration::from_millis(150);
-/// Longest pause after failed reads.
-const LONGEST_PAUSE: time::Duration = time::Duration::from_millis(600);
+/// Pause after a failed read, or after a peer's answer that failed.
+const FAILED_PAUSE: time::Duration = time::Duration::from_millis(400);
+/// Time between the tries of two gateways of a failure domain to take a lost reader's place.
+const RANK_PAUSE: time::Duration = time::Duration::from_millis(40);
+/// Greatest rank that waits longer; a fleet of hundreds must not wait for seconds.
+const MAX_RANK: u32 = 10;
+/// Time on top after a failed read for each rank, so that an outage of the platform is not met by
+/// every gateway's calls.
+const FAILED_RANK_PAUSE: time::Duration = time::Duration::from_millis(400);
 /// Time between two looks at who reads.
 const LOOK: time::Duration = time::Duration::from_millis(300);
 /// Time after which a peer's answer is given up.
@@ -70,37 +75,61 @@
     let own = engine.settings.peer_listen();
     let domain = peers::domain_hash(&engine.settings.failure_domain);
     let mut listing = true;
-    let mut pause = FIRST_PAUSE;
+    let mut failed = false;
     loop {
-        let now = engine.clock.now();
-        let duty = {
-            let state = engine.state();
-            toucanledge_steering::reader_duty(own, state.reading, domain, &state.peers, now)
-        };
-        match duty {
+        match next_duty(&engine, own, domain, failed).await {
             ReaderDuty::Follow(peer) => {
+                failed = false;
                 if follow(&engine, &source, peer).await {
                     listing = false;
                 }
-                pause = FIRST_PAUSE;
             }
             ReaderDuty::Read => match read(&engine, &source, &mut listing).await {
                 Ok(changed) => {
-                    pause = FIRST_PAUSE;
+                    failed = false;
                     if changed {
                         tokio::time::sleep(GATHER).await;
                     }
                 }
                 Err(failure) => {
+                    failed = true;
                     note_failure(&engine, failure);
-                    tokio::time::sleep(pause).await;
-                    pause = (pause * 2).min(LONGEST_PAUSE);
                 }
             },
         }
     }
 }
 
+/// Returns what to do next; waits for its turn before it takes a lost reader's place.
+async fn next_duty(
+    engine: &sync::Arc<FrontEngine>,
+    own: PeerId,
+    domain: u64,
+    failed: bool,
+) -> ReaderDuty {
+    let look = || {
+        let state = engine.state();
+        let now = engine.clock.now();
+        let reading = state.reading;
+        let duty =
+            toucanledge_steering::reader_duty(own, reading, domain, &state.peers, now);
+        let rank = toucanledge_steering::reader_rank(own, domain, &state.peers, now);
+        (duty, reading, u32::try_from(rank).unwrap_or(u32::MAX).min(MAX_RANK))
+    };
+    let (duty, reading, rank) = look();
+    if duty != ReaderDuty::Read || reading {
+        return duty;
+    }
+    let pause = if failed {
+        FAILED_PAUSE + FAILED_RANK_PAUSE * rank
+    } else {
+        RANK_PAUSE * rank
+    };
+    // News of a peer that reads ends the wait; a timeout means that it is this gateway's turn.
+    let _ = tokio::time::timeout(pause, engine.facts_wanted.notified()).await;
+    look().0
+}
+
 async fn read(
     engine: &sync::Arc<FrontEngine>,
     source: &FactSource,
@@ -190,7 +219,7 @@
         }
         Ok(Err(report)) => {
             log::info!("[facts] {report}");
-            tokio::time::sleep(FIRST_PAUSE).await;
+            tokio::time::sleep(FAILED_PAUSE).await;
             false
         }
         Err(_) => {
--- a/crates/steering/src/reader.rs
+++ b/crates/steering/src/reader.rs
@@ -41,3 +41,15 @@
         None => ReaderDuty::Read,
     }
 }
+
+/// Returns how many live gateways of the failure domain have a smaller address.
+///
+/// When a reader is lost, gateways try the platform in this order.
+#[must_use]
+pub fn reader_rank(own: PeerId, domain: u64, peers: &PeerTable, now: Millis) -> usize {
+    peers
+        .live(now)
+        .filter(|(peer, state)| *peer < own && state.domain == domain && !state.stopping)
+        .filter(|(_, state)| now.since(state.heard) <= READER_SILENT_MS)
+        .count()
+}
