--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -120,9 +120,8 @@
     pub fn finish(&mut self, status: StatusCode, now: Millis) {
         self.finished = true;
         let took = now.since(self.arrived);
-        metrics::histogram!("toucanledge_request_ms").record(f64::from(
-            u32::try_from(took).unwrap_or(u32::MAX),
-        ));
+        metrics::histogram!("toucanledge_request_ms")
+            .record(f64::from(u32::try_from(took).unwrap_or(u32::MAX)));
         let reason: &'static str = self.refused.map_or("none", Into::into);
         log::info!(
             "[request] id={} route={} table={} servers={} ends={} status={} reason={reason} \
--- a/crates/front/src/note.rs
+++ b/crates/front/src/note.rs
@@ -35,7 +35,10 @@
 impl From<&EvidenceNote> for EvidenceFrame {
     fn from(note: &EvidenceNote) -> Self {
         let request = note.request.map(|request| {
-            #[expect(clippy::cast_possible_truncation, reason = "the two halves of the value")]
+            #[expect(
+                clippy::cast_possible_truncation,
+                reason = "the two halves of the value"
+            )]
             let halves = ((request.0 >> 64) as u64, request.0 as u64);
             halves
         });
@@ -81,7 +84,10 @@
             note.domain,
             note.revision,
             flags,
-            note.loads.iter().map(|(server, load)| (server.0, *load)).collect(),
+            note.loads
+                .iter()
+                .map(|(server, load)| (server.0, *load))
+                .collect(),
             note.evidence.iter().map(EvidenceFrame::from).collect(),
             peers.collect(),
         )
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -113,7 +113,12 @@
         let beat = now >= next_beat;
         if beat {
             let reading = engine.state().reading;
-            next_beat = now + if reading { READER_BEAT_MS } else { NEAR_BEAT_MS };
+            next_beat = now
+                + if reading {
+                    READER_BEAT_MS
+                } else {
+                    NEAR_BEAT_MS
+                };
             beats += 1;
         }
         flush(&socket, &engine, &mut sequence, beat, beats).await;
--- a/crates/front/src/reader.rs
+++ b/crates/front/src/reader.rs
@@ -111,10 +111,13 @@
         let state = engine.state();
         let now = engine.clock.now();
         let reading = state.reading;
-        let duty =
-            toucanledge_steering::reader_duty(own, reading, domain, &state.peers, now);
+        let duty = toucanledge_steering::reader_duty(own, reading, domain, &state.peers, now);
         let rank = toucanledge_steering::reader_rank(own, domain, &state.peers, now);
-        (duty, reading, u32::try_from(rank).unwrap_or(u32::MAX).min(MAX_RANK))
+        (
+            duty,
+            reading,
+            u32::try_from(rank).unwrap_or(u32::MAX).min(MAX_RANK),
+        )
     };
     let (duty, reading, rank) = look();
     if duty != ReaderDuty::Read || reading {
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -65,17 +65,18 @@
 
 /// Checks the shape of a head against request smuggling.
 ///
+/// A head with both kinds of length is read as chunked by the HTTP library, which drops the other
+/// length and closes the connection after the answer, so nothing behind it is read.
+///
 /// # Errors
 ///
 /// Returns why the request is refused.
 pub fn check_head(head: &hyper::http::request::Parts) -> Result<(), RefusalReason> {
     let headers = &head.headers;
-    let both_lengths = headers.contains_key(header::TRANSFER_ENCODING)
-        && headers.contains_key(header::CONTENT_LENGTH);
     let many_lengths = headers.get_all(header::CONTENT_LENGTH).iter().count() > 1;
     let many_hosts = headers.get_all(header::HOST).iter().count() > 1;
     let unsupported = head.method == hyper::Method::CONNECT || headers.contains_key("upgrade");
-    if both_lengths || many_lengths || many_hosts || unsupported {
+    if many_lengths || many_hosts || unsupported {
         return Err(RefusalReason::BadRequest);
     }
     Ok(())
@@ -102,8 +103,7 @@
         .headers
         .get(header::HOST)
         .map_or(&b""[..], header::HeaderValue::as_bytes);
-    let fingerprint =
-        Fingerprint::of(CallerHash::of(host), head.method.as_str(), &target, &body);
+    let fingerprint = Fingerprint::of(CallerHash::of(host), head.method.as_str(), &target, &body);
     Ok(CallerRequest {
         headers: end_to_end(&head.headers),
         method: head.method,
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -64,8 +64,7 @@
     metrics: metrics_exporter_prometheus::PrometheusHandle,
 ) -> Result<(), Report<FrontError>> {
     let signals = || FrontError::local(FrontStep::StartRuntime);
-    let mut terminate =
-        unix::signal(unix::SignalKind::terminate()).change_context_lazy(signals)?;
+    let mut terminate = unix::signal(unix::SignalKind::terminate()).change_context_lazy(signals)?;
     let mut reload = unix::signal(unix::SignalKind::hangup()).change_context_lazy(signals)?;
     let listener = caller::bind(engine.settings.listen).await?;
     let ready = caller::bind(engine.settings.ready_listen).await?;
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -33,8 +33,6 @@
     pub retry_ratio: f64,
     /// Retries that the fleet may make on top in a window.
     pub retry_slack: f64,
-    /// Time between SIGTERM and SIGKILL.
-    pub stop_grace: String,
     /// Log levels, for example `info`.
     pub log: String,
 }
--- a/crates/front/src/status.rs
+++ b/crates/front/src/status.rs
@@ -61,14 +61,14 @@
     let state = engine.state();
     let version = state.table.as_ref().map_or(0, |table| table.version());
     let peers = state.peers.live(now).count();
-    let mut text = format!(
+    let head = format!(
         "table={version} revision={} reading={} peers={peers}\n",
         state.facts.revision(),
         state.reading
     );
-    for (_, entry) in state.servers.iter() {
+    let servers = state.servers.iter().map(|(_, entry)| {
         let health = &entry.health;
-        text.push_str(&format!(
+        format!(
             "server={} stage={} load={} failures={} reachable={} failure_age_ms={}\n",
             entry.row.name,
             entry.row.stage,
@@ -76,9 +76,9 @@
             health.failures(),
             health.reachable(now),
             now.since(health.last_failure()),
-        ));
-    }
-    text
+        )
+    });
+    std::iter::once(head).chain(servers).collect()
 }
 
 /// Serves a listener with answers that need no wait.
--- a/crates/steering/src/choice.rs
+++ b/crates/steering/src/choice.rs
@@ -85,7 +85,12 @@
         let trusted = left
             .iter()
             .filter(|(_, entry)| usable(entry, now))
-            .min_by(|left, right| compare(score(plan, left.1, now, rng), score(plan, right.1, now, rng)));
+            .min_by(|left, right| {
+                compare(
+                    score(plan, left.1, now, rng),
+                    score(plan, right.1, now, rng),
+                )
+            });
         if let Some((key, _)) = trusted {
             return Ok((*key, false));
         }
--- a/crates/steering/src/health.rs
+++ b/crates/steering/src/health.rs
@@ -26,15 +26,7 @@
 
 /// What a request showed about the backend server that it was sent to.
 #[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    Hash,
-    strum::Display,
-    strum::IntoStaticStr,
-    strum::FromRepr,
+    Clone, Copy, Debug, PartialEq, Eq, Hash, strum::Display, strum::IntoStaticStr, strum::FromRepr,
 )]
 #[repr(u8)]
 #[strum(serialize_all = "kebab-case")]
--- a/crates/steering/src/table.rs
+++ b/crates/steering/src/table.rs
@@ -28,8 +28,7 @@
             .into_iter()
             .map(|pool| (PoolId::of(&pool.name), pool))
             .collect();
-        let mut hosts: collections::HashMap<String, Vec<RouteRow>> =
-            collections::HashMap::new();
+        let mut hosts: collections::HashMap<String, Vec<RouteRow>> = collections::HashMap::new();
         for route in routes {
             hosts.entry(route.host.clone()).or_default().push(route);
         }
--- /dev/null
+++ b/crates/steering/tests/choice.rs
@@ -0,0 +1,150 @@
+//! Guards against work that goes to a server that cannot be trusted with it.
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use toucanledge_core::{Millis, PoolId};
+use toucanledge_steering::{
+    ChoicePlan, ChoiceRefusal, ServerArena, ServerEvidence, ServerKey, ServerStage,
+};
+use toucanledge_table::RepeatRule;
+
+use crate::support;
+
+const NOW: Millis = Millis(100_000);
+const DRAWS: u64 = 300;
+
+fn plan(repeat: RepeatRule, retry_left: bool) -> ChoicePlan<'static> {
+    ChoicePlan {
+        pool: PoolId::of(support::POOL),
+        repeat,
+        retry_left,
+        explored: true,
+        tried: &[],
+        domain: "a",
+    }
+}
+
+fn choices(arena: &ServerArena, plan: &ChoicePlan<'_>, now: Millis) -> Vec<(ServerKey, bool)> {
+    (0..DRAWS)
+        .filter_map(|seed| {
+            let mut rng = SmallRng::seed_from_u64(seed);
+            arena.choose(plan, now, &mut rng).ok()
+        })
+        .collect()
+}
+
+#[test]
+fn work_that_must_not_repeat_is_never_a_trial_while_others_explore() {
+    let (mut arena, keys) = support::arena(4);
+    arena.note(support::id(0), ServerEvidence::OwnError, Millis(10));
+    let chosen = choices(&arena, &plan(RepeatRule::Keyed, true), NOW);
+    assert_eq!(chosen.len(), 300);
+    assert!(chosen.iter().all(|(key, trial)| *key != keys[0] && !trial));
+}
+
+#[test]
+fn work_that_must_not_repeat_tries_a_pool_that_nothing_else_explores() {
+    let (mut arena, keys) = support::arena(4);
+    arena.note(support::id(0), ServerEvidence::OwnError, Millis(10));
+    let alone = ChoicePlan {
+        explored: false,
+        ..plan(RepeatRule::Keyed, true)
+    };
+    let chosen = choices(&arena, &alone, NOW);
+    assert!(chosen.iter().any(|(key, trial)| *key == keys[0] && *trial));
+    let early = choices(&arena, &alone, Millis(1_000));
+    assert!(early.iter().all(|(key, _)| *key != keys[0]));
+}
+
+#[test]
+fn repeatable_work_without_a_retry_is_never_a_trial() {
+    let (mut arena, keys) = support::arena(4);
+    arena.note(support::id(0), ServerEvidence::OwnError, Millis(10));
+    let without = choices(&arena, &plan(RepeatRule::Repeatable, false), NOW);
+    assert!(without.iter().all(|(key, _)| *key != keys[0]));
+    let with = choices(&arena, &plan(RepeatRule::Repeatable, true), NOW);
+    assert!(with.iter().any(|(key, trial)| *key == keys[0] && *trial));
+}
+
+#[test]
+fn one_trial_at_a_time() {
+    let (mut arena, keys) = support::arena(4);
+    arena.note(support::id(0), ServerEvidence::OwnError, Millis(10));
+    if let Some(entry) = arena.get_mut(keys[0]) {
+        entry.trials = 1;
+    }
+    let chosen = choices(&arena, &plan(RepeatRule::Repeatable, true), NOW);
+    assert!(chosen.iter().all(|(key, _)| *key != keys[0]));
+}
+
+#[test]
+fn work_that_must_not_repeat_goes_where_a_success_is_most_recent() {
+    let (mut arena, keys) = support::arena(4);
+    arena.note(support::id(2), ServerEvidence::Success, Millis(99_900));
+    let chosen = choices(&arena, &plan(RepeatRule::Keyed, true), NOW);
+    assert!(chosen.iter().all(|(key, _)| *key == keys[2]));
+    let explorers = choices(&arena, &plan(RepeatRule::Repeatable, true), NOW);
+    assert!(explorers.iter().all(|(key, _)| *key != keys[2]));
+}
+
+#[test]
+fn a_full_server_is_left_for_a_free_one() {
+    let (mut arena, keys) = support::arena(2);
+    arena.note(support::id(0), ServerEvidence::Success, Millis(99_900));
+    if let Some(entry) = arena.get_mut(keys[0]) {
+        entry.peers = 4;
+    }
+    let chosen = choices(&arena, &plan(RepeatRule::Keyed, true), NOW);
+    assert!(chosen.iter().all(|(key, _)| *key == keys[1]));
+}
+
+#[test]
+fn a_leaving_server_gets_nothing() {
+    let (mut arena, keys) = support::arena(2);
+    let mut leaving = support::server("s0", "a");
+    leaving.stage = ServerStage::Leaving;
+    arena.put(leaving, Millis(2));
+    let chosen = choices(&arena, &plan(RepeatRule::Repeatable, true), NOW);
+    assert!(chosen.iter().all(|(key, _)| *key == keys[1]));
+    arena.remove(support::id(1));
+    let mut rng = SmallRng::seed_from_u64(1);
+    let none = arena.choose(&plan(RepeatRule::Repeatable, true), NOW, &mut rng);
+    assert_eq!(none, Err(ChoiceRefusal::NoServer));
+}
+
+#[test]
+fn work_stays_in_the_failure_domain_while_it_has_room() {
+    let (mut arena, keys) = support::arena(2);
+    let far = arena.put(support::server("far", "b"), Millis(1));
+    let chosen = choices(&arena, &plan(RepeatRule::Keyed, true), NOW);
+    assert!(chosen.iter().all(|(key, _)| *key != far));
+    for key in keys {
+        if let Some(entry) = arena.get_mut(key) {
+            entry.peers = 4;
+        }
+    }
+    let chosen = choices(&arena, &plan(RepeatRule::Keyed, true), NOW);
+    assert!(chosen.iter().all(|(key, _)| *key == far));
+}
+
+#[test]
+fn all_suspects_still_serve() {
+    let (mut arena, keys) = support::arena(3);
+    for index in 0..3 {
+        let at = Millis(99_000 + 100 * index as u64);
+        arena.note(support::id(index), ServerEvidence::OwnError, at);
+    }
+    let chosen = choices(&arena, &plan(RepeatRule::Keyed, true), NOW);
+    assert!(chosen.iter().all(|(key, _)| *key == keys[0]));
+}
+
+#[test]
+fn a_restarted_server_starts_without_its_earlier_failures() {
+    let (mut arena, keys) = support::arena(1);
+    arena.note(support::id(0), ServerEvidence::OwnError, Millis(10));
+    let mut restarted = support::server("s0", "a");
+    restarted.born = Some(2);
+    let key = arena.put(restarted, Millis(20));
+    assert!(arena.get(keys[0]).is_none());
+    assert!(arena.get(key).is_some_and(|entry| !entry.health.suspect()));
+}
--- /dev/null
+++ b/crates/steering/tests/health.rs
@@ -0,0 +1,85 @@
+//! Guards against servers that are trusted too early or set aside without a reason.
+
+use toucanledge_core::Millis;
+use toucanledge_steering::{HealthChange, ServerEvidence, ServerHealth};
+
+#[test]
+fn one_failure_makes_a_suspect_and_one_success_clears_it() {
+    let mut health = ServerHealth::default();
+    let change = health.note(ServerEvidence::OwnError, Millis(100));
+    assert_eq!(change, HealthChange::Suspected);
+    assert!(health.suspect());
+    let change = health.note(ServerEvidence::Success, Millis(200));
+    assert_eq!(change, HealthChange::Cleared);
+    assert!(!health.suspect());
+}
+
+#[test]
+fn one_success_in_an_episode_of_failing_clears_nothing() {
+    let mut health = ServerHealth::default();
+    health.note(ServerEvidence::OwnError, Millis(100));
+    health.note(ServerEvidence::OwnError, Millis(110));
+    let change = health.note(ServerEvidence::Success, Millis(200));
+    assert_eq!(change, HealthChange::StillSuspect);
+    assert!(
+        health.trial_due(Millis(201)),
+        "the second trial need not wait"
+    );
+    health.note(ServerEvidence::OwnError, Millis(210));
+    health.note(ServerEvidence::Success, Millis(900));
+    assert!(health.suspect());
+    let change = health.note(ServerEvidence::Success, Millis(950));
+    assert_eq!(change, HealthChange::Cleared);
+}
+
+#[test]
+fn a_success_that_is_older_than_the_failure_clears_nothing() {
+    let mut health = ServerHealth::default();
+    health.note(ServerEvidence::Broken, Millis(200));
+    health.note(ServerEvidence::Success, Millis(150));
+    assert!(health.suspect());
+}
+
+#[test]
+fn a_server_that_refuses_work_is_avoided_for_a_while_and_not_suspected() {
+    let mut health = ServerHealth::default();
+    health.note(ServerEvidence::Full, Millis(100));
+    assert!(!health.suspect());
+    assert!(health.refusing(Millis(700)));
+    assert!(!health.refusing(Millis(900)));
+}
+
+#[test]
+fn trials_back_off_to_a_bound() {
+    let mut health = ServerHealth::default();
+    let mut pauses = Vec::new();
+    for _ in 0..5 {
+        health.note(ServerEvidence::OwnError, Millis(1_000));
+        let due = (0..10_000).find(|wait| health.trial_due(Millis(1_000 + wait)));
+        pauses.push(due.unwrap_or_default());
+    }
+    assert!(pauses.is_sorted());
+    assert!(
+        pauses.iter().all(|pause| (100..=1_000).contains(pause)),
+        "{pauses:?}"
+    );
+}
+
+#[test]
+fn a_path_without_connections_is_avoided_and_tried_again() {
+    let mut health = ServerHealth::default();
+    health.note_path(Millis(1_000));
+    assert!(!health.reachable(Millis(1_500)));
+    assert!(health.reachable(Millis(2_000)));
+    assert!(
+        !health.suspect(),
+        "one gateway's path says nothing about the server"
+    );
+    for _ in 0..20 {
+        health.note_path(Millis(3_000));
+    }
+    assert!(health.reachable(Millis(3_000 + 8_000)));
+    health.note_path(Millis(20_000));
+    health.note(ServerEvidence::Success, Millis(20_001));
+    assert!(health.reachable(Millis(20_002)));
+}
--- a/crates/steering/tests/main.rs
+++ b/crates/steering/tests/main.rs
@@ -1,1 +1,11 @@
-//! Tests.
+//! Tests of the decisions, one module a part.
+
+mod budget;
+mod choice;
+mod crash;
+mod facts;
+mod health;
+mod peers;
+mod reader;
+mod support;
+mod table;
