--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -26,6 +26,8 @@
     NoServer,
     /// Every backend server that was tried refused the request.
     Full,
+    /// No backend server of the pool would answer in time.
+    Busy,
     /// No connection to a backend server opened.
     NoConnection,
     /// The time was over before the request was sent.
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -33,6 +33,7 @@
     key: ServerKey,
     id: ServerId,
     trial: bool,
+    start: Millis,
 }
 
 impl FlightGuard {
@@ -44,6 +45,7 @@
             key: target.key,
             id: target.id,
             trial: target.trial,
+            start: engine.clock.now(),
         };
         guard.shift(1);
         guard
@@ -53,6 +55,11 @@
         let mut state = self.engine.state();
         if let Some(entry) = state.servers.get_mut(self.key) {
             entry.own = entry.own.saturating_add_signed(change);
+            if change > 0 {
+                entry.starts.push(self.start);
+            } else if let Some(index) = entry.starts.iter().position(|at| *at == self.start) {
+                entry.starts.swap_remove(index);
+            }
             if self.trial {
                 entry.trials = entry.trials.saturating_add_signed(change);
             }
--- a/crates/front/src/engine.rs
+++ b/crates/front/src/engine.rs
@@ -67,6 +67,8 @@
     request: CallerRequest,
     route: RouteRow,
     pool: PoolId,
+    /// Time until which an answer is worth most.
+    due: Millis,
     deadline: Millis,
 }
 
@@ -193,6 +195,7 @@
         let request = request::read_request(head, body, max_body, &self.memory).await?;
         Ok(RoutedRequest {
             request,
+            due: arrived + route.objective_ms,
             route,
             pool,
             deadline,
@@ -238,7 +241,7 @@
             };
             tried.push(target.key);
             trace.servers.push(target.name.to_string());
-            match self.attempt(routed, target, sends, trace).await {
+            match self.attempt(routed, target, trace).await {
                 TryStep::Done(answer) => return answer,
                 TryStep::Connect(reason) => {
                     if sends > 0 {
@@ -287,12 +290,14 @@
             explored: state.explored(routed.pool, now),
             tried,
             domain: &self.settings.failure_domain,
+            due_ms: routed.due.since(now).min(routed.deadline.since(now)),
         };
         let chosen = state.servers.choose(&plan, now, &mut rand::rng());
         let (key, trial) = match chosen {
             Ok(chosen) => chosen,
             Err(ChoiceRefusal::NoServer) => return Err(RefusalReason::NoServer),
             Err(ChoiceRefusal::AllTried) => return Err(RefusalReason::Full),
+            Err(ChoiceRefusal::Busy) => return Err(RefusalReason::Busy),
         };
         let Some(entry) = state.servers.get_mut(key) else {
             return Err(RefusalReason::NoServer);
@@ -313,7 +318,6 @@
         self: &sync::Arc<Self>,
         routed: &RoutedRequest,
         target: AttemptTarget,
-        sends: u32,
         trace: &mut RequestTrace,
     ) -> TryStep {
         let flight = FlightGuard::enter(self, &target);
@@ -337,14 +341,14 @@
         let took = self.clock.now().since(now);
         drop(flight);
         trace.ends.push(end_name(&end));
-        self.judge(routed, &target, end, sends, took)
+        self.judge(routed, &target, end, took)
     }
 
     fn note_connect(&self, target: &AttemptTarget, failure: ConnectFailure) {
         let now = self.clock.now();
         let mut state = self.state();
         if failure == ConnectFailure::Refused {
-            state.witness(target.id, ServerEvidence::Refused, None, now);
+            state.witness(target.id, ServerEvidence::Refused, 0, None, now);
         }
         if let Some(entry) = state.servers.get_mut(target.key) {
             entry.health.note_path(now);
@@ -364,7 +368,6 @@
         routed: &RoutedRequest,
         target: &AttemptTarget,
         end: ExchangeEnd,
-        _sends: u32,
         took: u64,
     ) -> TryStep {
         let repeatable = routed.route.repeat == RepeatRule::Repeatable;
@@ -372,7 +375,7 @@
         let crash = matches!(end, ExchangeEnd::Broken).then_some(routed.request.fingerprint);
         if self
             .state()
-            .witness(target.id, evidence, crash, self.clock.now())
+            .witness(target.id, evidence, took, crash, self.clock.now())
         {
             log::info!(
                 "[health] server={} evidence={evidence} took_ms={took} trial={}",
--- a/crates/front/src/note.rs
+++ b/crates/front/src/note.rs
@@ -30,7 +30,7 @@
 );
 
 #[derive(Serialize, Deserialize)]
-struct EvidenceFrame(u64, u8, u64, Option<(u64, u64)>);
+struct EvidenceFrame(u64, u8, u64, u64, Option<(u64, u64)>);
 
 impl From<&EvidenceNote> for EvidenceFrame {
     fn from(note: &EvidenceNote) -> Self {
@@ -42,7 +42,13 @@
             let halves = ((request.0 >> 64) as u64, request.0 as u64);
             halves
         });
-        Self(note.server.0, note.evidence as u8, note.age_ms, request)
+        Self(
+            note.server.0,
+            note.evidence as u8,
+            note.age_ms,
+            note.took_ms,
+            request,
+        )
     }
 }
 
@@ -50,11 +56,12 @@
     type Error = ();
 
     fn try_from(frame: EvidenceFrame) -> Result<Self, Self::Error> {
-        let EvidenceFrame(server, evidence, age_ms, request) = frame;
+        let EvidenceFrame(server, evidence, age_ms, took_ms, request) = frame;
         Ok(Self {
             server: ServerId(server),
             evidence: ServerEvidence::from_repr(evidence).ok_or(())?,
             age_ms,
+            took_ms,
             request: request
                 .map(|(high, low)| Fingerprint((u128::from(high) << 64) | u128::from(low))),
         })
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -139,8 +139,13 @@
         self.servers.remove(id);
     }
 
-    /// Drops what is out of date.
+    /// Drops what is out of date and suspects servers that hold requests for too long.
     pub fn expire(&mut self, now: Millis) {
+        for server in self.servers.stalled(now) {
+            if self.witness(server, ServerEvidence::Silent, 0, None, now) {
+                log::info!("[health] server={:016x} evidence=stalled", server.0);
+            }
+        }
         for (server, before, after) in self.peers.expire(now) {
             self.servers.shift_peers(server, before, after);
         }
@@ -156,10 +161,14 @@
         &mut self,
         server: ServerId,
         evidence: ServerEvidence,
+        took_ms: u64,
         request: Option<Fingerprint>,
         now: Millis,
     ) -> bool {
         let change = self.servers.note(server, evidence, now);
+        if evidence == ServerEvidence::Success {
+            self.servers.note_time(server, took_ms);
+        }
         if let Some(request) = request {
             self.crashes.note(request, server, now);
         }
@@ -169,6 +178,7 @@
                     server,
                     evidence,
                     age_ms: now.0,
+                    took_ms,
                     request: None,
                 });
             }
@@ -181,6 +191,7 @@
                 server,
                 evidence,
                 age_ms: now.0,
+                took_ms,
                 request,
             });
         }
@@ -203,6 +214,9 @@
         for told in &note.evidence {
             let at = Millis(now.0.saturating_sub(told.age_ms));
             self.servers.note(told.server, told.evidence, at);
+            if told.evidence == ServerEvidence::Success {
+                self.servers.note_time(told.server, told.took_ms);
+            }
             if let Some(request) = told.request {
                 self.crashes.note(request, told.server, at);
             }
--- a/crates/front/tests/notes.rs
+++ b/crates/front/tests/notes.rs
@@ -8,14 +8,22 @@
 use toucanledge_steering::{EvidenceNote, PeerNote, ServerEvidence, ServerId};
 
 fn evidence() -> impl Strategy<Value = EvidenceNote> {
-    (any::<u64>(), 0..7_u8, any::<u64>(), any::<Option<u128>>()).prop_map(
-        |(server, evidence, age_ms, request)| EvidenceNote {
-            server: ServerId(server),
-            evidence: ServerEvidence::from_repr(evidence).unwrap_or(ServerEvidence::Success),
-            age_ms,
-            request: request.map(Fingerprint),
-        },
+    (
+        any::<u64>(),
+        0..7_u8,
+        any::<u64>(),
+        any::<u64>(),
+        any::<Option<u128>>(),
     )
+        .prop_map(
+            |(server, evidence, age_ms, took_ms, request)| EvidenceNote {
+                server: ServerId(server),
+                evidence: ServerEvidence::from_repr(evidence).unwrap_or(ServerEvidence::Success),
+                age_ms,
+                took_ms,
+                request: request.map(Fingerprint),
+            },
+        )
 }
 
 fn note() -> impl Strategy<Value = PeerNote> {
--- a/crates/steering/src/arena.rs
+++ b/crates/steering/src/arena.rs
@@ -8,6 +8,16 @@
 use crate::health::{HealthChange, ServerEvidence, ServerHealth};
 use crate::row::{ServerId, ServerRow, ServerStage};
 
+/// Weight of the newest answer in the mean time of a server's answers.
+const TIME_WEIGHT: f64 = 0.15;
+/// Greatest multiple of the mean that one answer counts as; 3 in 100 requests take 7 times as long
+/// as the others and say nothing about the server.
+const MAX_TIME_STEP: f64 = 4.0;
+/// Multiple of the usual time of an answer after which a request counts as stalled.
+const STALL_TIMES: f64 = 4.0;
+/// Least age in milliseconds of a stalled request.
+const STALL_MIN_MS: f64 = 700.0;
+
 slotmap::new_key_type! {
     /// Key of a backend server; a removed server's key is never valid again.
     pub struct ServerKey;
@@ -28,6 +38,10 @@
     pub cold_until: Millis,
     /// Trial requests of this gateway in flight.
     pub trials: u32,
+    /// Starts of this gateway's requests in flight.
+    pub starts: Vec<Millis>,
+    /// Mean time in milliseconds of its answers of late; `None` before the first.
+    pub mean_ms: Option<f64>,
     /// When it is to be dropped although it is still listed as ready.
     pub leave_at: Option<Millis>,
 }
@@ -66,6 +80,8 @@
             own: 0,
             peers: 0,
             trials: 0,
+            starts: Vec::new(),
+            mean_ms: None,
             leave_at: None,
         };
         let key = self.entries.insert(entry);
@@ -141,6 +157,56 @@
         }
     }
 
+    /// Takes the time of an answer.
+    pub fn note_time(&mut self, id: ServerId, took_ms: u64) {
+        let Some(entry) = self.ids.get(&id).and_then(|key| self.entries.get_mut(*key)) else {
+            return;
+        };
+        let took = u32::try_from(took_ms).map_or(f64::from(u32::MAX), f64::from);
+        entry.mean_ms = Some(match entry.mean_ms {
+            Some(mean) => mean + (took.min(mean * MAX_TIME_STEP) - mean) * TIME_WEIGHT,
+            None => took,
+        });
+    }
+
+    /// Returns the mean time in milliseconds of the answers of a pool's middle server.
+    #[must_use]
+    pub fn usual_ms(&self, pool: PoolId) -> Option<f64> {
+        let mut means: Vec<f64> = self
+            .pool(pool)
+            .filter(|(_, entry)| entry.open())
+            .filter_map(|(_, entry)| entry.mean_ms)
+            .collect();
+        means.sort_unstable_by(f64::total_cmp);
+        means.get(means.len() / 2).copied()
+    }
+
+    /// Returns the backend servers that hold a request of this gateway for far too long while they
+    /// answered nobody since it began.
+    #[must_use]
+    pub fn stalled(&self, now: Millis) -> Vec<ServerId> {
+        let usual: collections::HashMap<PoolId, f64> = self
+            .pools
+            .keys()
+            .filter_map(|pool| Some((*pool, self.usual_ms(*pool)?)))
+            .collect();
+        self.entries
+            .values()
+            .filter(|entry| {
+                let Some(oldest) = entry.starts.iter().min() else {
+                    return false;
+                };
+                let usual = usual.get(&entry.row.pool).copied().unwrap_or(STALL_MIN_MS);
+                let limit = (usual * STALL_TIMES).max(STALL_MIN_MS);
+                let age = u32::try_from(now.since(*oldest)).map_or(f64::MAX, f64::from);
+                let quiet =
+                    entry.health.last_success() < *oldest && entry.health.last_failure() < *oldest;
+                age > limit && quiet
+            })
+            .map(|entry| ServerId::of(&entry.row.name))
+            .collect()
+    }
+
     /// Changes the requests that peers have in flight at a backend server.
     pub fn shift_peers(&mut self, id: ServerId, from: u32, to: u32) {
         if let Some(entry) = self.ids.get(&id).and_then(|key| self.entries.get_mut(*key)) {
@@ -156,6 +222,16 @@
         self.own + self.peers
     }
 
+    /// Returns the milliseconds until one more request would be answered.
+    ///
+    /// A request that finds a slot takes the mean time; others wait for their turn before.
+    #[must_use]
+    pub fn expected_ms(&self, usual: Option<f64>) -> f64 {
+        let mean = self.mean_ms.or(usual).unwrap_or(0.0);
+        let slots = f64::from(self.row.slots.max(1));
+        mean * (f64::from(self.load() + 1) / slots).max(1.0)
+    }
+
     /// Returns whether new work may go there at all.
     #[must_use]
     pub fn open(&self) -> bool {
--- a/crates/steering/src/choice.rs
+++ b/crates/steering/src/choice.rs
@@ -17,6 +17,11 @@
 const JITTER: f64 = 0.1;
 /// Share of a server's slots up to which more load makes it no worse a choice.
 const FREE_SHARE: f64 = 0.7;
+/// Weight of the load above that share, against the other parts of a choice.
+const LOAD_WEIGHT: f64 = 4.0;
+/// Bounds of the time of a server's answers as a multiple of its pool's usual time.
+const MIN_SLOWNESS: f64 = 0.8;
+const MAX_SLOWNESS: f64 = 8.0;
 /// Seconds since a server's last success that weigh as much as a full load of all slots. Episodes of
 /// failing begin at a server about every 30 s, so the risk grows with the age of its last success.
 const PROOF_AGE_S: f64 = 4.0;
@@ -42,6 +47,8 @@
     pub tried: &'a [ServerKey],
     /// Failure domain of the gateway.
     pub domain: &'a str,
+    /// Milliseconds within which an answer is due.
+    pub due_ms: u64,
 }
 
 /// Why no backend server was chosen.
@@ -51,6 +58,8 @@
     NoServer,
     /// Every backend server of the pool was tried.
     AllTried,
+    /// No backend server of the pool would answer in time.
+    Busy,
 }
 
 impl ServerArena {
@@ -82,17 +91,22 @@
         if let Some(key) = due_trial(plan, &left, now, rng) {
             return Ok((key, true));
         }
+        let usual = self.usual_ms(plan.pool);
         let trusted = left
             .iter()
             .filter(|(_, entry)| usable(entry, now))
-            .min_by(|left, right| {
-                compare(
-                    score(plan, left.1, now, rng),
-                    score(plan, right.1, now, rng),
-                )
-            });
+            .map(|(key, entry)| (*key, score(plan, entry, usual, now, rng)))
+            .min_by(|left, right| left.1.total_cmp(&right.1));
         if let Some((key, _)) = trusted {
-            return Ok((*key, false));
+            let due = u32::try_from(plan.due_ms).map_or(f64::MAX, f64::from);
+            let late = self.get(key).is_some_and(|entry| {
+                entry.load() > entry.row.slots && entry.expected_ms(usual) > due
+            });
+            return if late {
+                Err(ChoiceRefusal::Busy)
+            } else {
+                Ok((key, false))
+            };
         }
         // Nothing is trusted: the failure that is longest ago is the likeliest to be over.
         let oldest = left.iter().min_by_key(|(_, entry)| {
@@ -150,10 +164,22 @@
 ///
 /// Work that must not repeat goes where a success is most recent, as long as a slot is free there;
 /// repeatable work goes to the others, and so finds the servers that began to fail.
-fn score(plan: &ChoicePlan<'_>, entry: &ServerEntry, now: Millis, rng: &mut impl Rng) -> f64 {
+fn score(
+    plan: &ChoicePlan<'_>,
+    entry: &ServerEntry,
+    usual: Option<f64>,
+    now: Millis,
+    rng: &mut impl Rng,
+) -> f64 {
     let slots = f64::from(entry.row.slots.max(1));
-    let load = f64::from(entry.load() + 1) / slots;
-    let mut score = (load - FREE_SHARE).max(0.0) * 4.0 + rng.random::<f64>() * JITTER;
+    let slowness = match (entry.mean_ms, usual) {
+        (Some(mean), Some(usual)) if usual > 0.0 => {
+            (mean / usual).clamp(MIN_SLOWNESS, MAX_SLOWNESS)
+        }
+        _ => 1.0,
+    };
+    let load = f64::from(entry.load() + 1) / slots * slowness;
+    let mut score = (load - FREE_SHARE).max(0.0) * LOAD_WEIGHT + rng.random::<f64>() * JITTER;
     if *entry.row.domain != *plan.domain {
         score += DOMAIN_PENALTY;
     }
@@ -172,7 +198,3 @@
         score + age / PROOF_AGE_S
     }
 }
-
-fn compare(left: f64, right: f64) -> std::cmp::Ordering {
-    left.total_cmp(&right)
-}
--- a/crates/steering/src/peers.rs
+++ b/crates/steering/src/peers.rs
@@ -25,6 +25,8 @@
     pub evidence: ServerEvidence,
     /// Milliseconds since it was seen.
     pub age_ms: u64,
+    /// Milliseconds that the answer took, for a success.
+    pub took_ms: u64,
     /// Request that the backend server broke off, where that was seen.
     pub request: Option<Fingerprint>,
 }
--- a/crates/steering/tests/choice.rs
+++ b/crates/steering/tests/choice.rs
@@ -21,6 +21,7 @@
         explored: true,
         tried: &[],
         domain: "a",
+        due_ms: 2_000,
     }
 }
 
@@ -148,3 +149,75 @@
     assert!(arena.get(keys[0]).is_none());
     assert!(arena.get(key).is_some_and(|entry| !entry.health.suspect()));
 }
+
+/// At a crest, work that would wait past its objective only makes the rest late as well.
+#[test]
+fn work_that_would_be_late_everywhere_is_refused_at_once() {
+    let (mut arena, keys) = support::arena(2);
+    for (index, key) in keys.iter().enumerate() {
+        arena.note_time(support::id(index), 200);
+        if let Some(entry) = arena.get_mut(*key) {
+            entry.peers = 15;
+        }
+    }
+    let mut rng = SmallRng::seed_from_u64(1);
+    let soon = ChoicePlan {
+        due_ms: 700,
+        ..plan(RepeatRule::Keyed, true)
+    };
+    assert_eq!(arena.choose(&soon, NOW, &mut rng), Err(ChoiceRefusal::Busy));
+    let later = ChoicePlan {
+        due_ms: 900,
+        ..soon
+    };
+    assert!(arena.choose(&later, NOW, &mut rng).is_ok());
+}
+
+/// A free slot is always used, however slow the server.
+#[test]
+fn a_free_slot_is_never_refused() {
+    let (mut arena, keys) = support::arena(1);
+    arena.note_time(support::id(0), 5_000);
+    let mut rng = SmallRng::seed_from_u64(1);
+    let soon = ChoicePlan {
+        due_ms: 10,
+        ..plan(RepeatRule::Keyed, true)
+    };
+    assert_eq!(arena.choose(&soon, NOW, &mut rng), Ok((keys[0], false)));
+}
+
+#[test]
+fn a_slow_server_gets_less() {
+    let (mut arena, keys) = support::arena(3);
+    for index in 0..3 {
+        for _ in 0..50 {
+            arena.note_time(support::id(index), if index == 0 { 1_200 } else { 200 });
+        }
+    }
+    for key in &keys {
+        if let Some(entry) = arena.get_mut(*key) {
+            entry.peers = 2;
+        }
+    }
+    let chosen = choices(&arena, &plan(RepeatRule::Keyed, true), NOW);
+    assert!(chosen.iter().all(|(key, _)| *key != keys[0]));
+}
+
+#[test]
+fn a_request_far_older_than_usual_makes_its_server_a_suspect() {
+    let (mut arena, keys) = support::arena(2);
+    arena.note_time(support::id(0), 200);
+    arena.note_time(support::id(1), 200);
+    for key in &keys {
+        if let Some(entry) = arena.get_mut(*key) {
+            entry.starts.push(Millis(1_000));
+        }
+    }
+    arena.note(support::id(1), ServerEvidence::Success, Millis(1_500));
+    assert!(arena.stalled(Millis(1_700)).is_empty());
+    assert_eq!(
+        arena.stalled(Millis(1_900)),
+        [support::id(0)],
+        "the other answered meanwhile"
+    );
+}
