--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -12,6 +12,7 @@
 mod engine;
 mod error;
 mod exchange;
+mod log_queue;
 mod note;
 mod peers;
 mod reader;
--- /dev/null
+++ b/crates/front/src/log_queue.rs
@@ -0,0 +1,105 @@
+//! Log lines that never hold up the process.
+
+use std::io;
+use std::io::Write;
+use std::sync;
+use std::sync::mpsc;
+use std::thread;
+use std::time;
+
+use flexi_logger::DeferredNow;
+use flexi_logger::writers::LogWriter;
+
+/// Lines that wait for the output; at 6 lines a request this is 300 requests.
+const MAX_WAITING: usize = 2048;
+/// Time in which lines gather for one write.
+const GATHER: time::Duration = time::Duration::from_millis(50);
+/// Longest wait for the last lines of a process that stops.
+const FLUSH_LIMIT: time::Duration = time::Duration::from_millis(300);
+
+enum LogItem {
+    Line(String),
+    Flush(mpsc::SyncSender<()>),
+}
+
+/// Hands log lines to a thread that writes them to standard output.
+///
+/// A line that finds the queue full is dropped and counted in `toucanledge_log_lines_dropped_total`,
+/// so neither a burst of lines nor an output that nobody reads can block a request.
+#[derive(Debug)]
+pub struct LogQueue {
+    sender: mpsc::SyncSender<LogItem>,
+}
+
+impl LogQueue {
+    /// Starts the writing thread.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the thread could not start.
+    pub fn start() -> io::Result<Self> {
+        let (sender, receiver) = mpsc::sync_channel(MAX_WAITING);
+        thread::Builder::new()
+            .name("log".to_owned())
+            .spawn(move || write_lines(&receiver))?;
+        Ok(Self { sender })
+    }
+}
+
+impl LogWriter for LogQueue {
+    fn write(&self, _now: &mut DeferredNow, record: &log::Record<'_>) -> io::Result<()> {
+        let since_epoch = time::SystemTime::now()
+            .duration_since(time::UNIX_EPOCH)
+            .unwrap_or_default();
+        let line = format!(
+            "{} {} {}\n",
+            since_epoch.as_millis(),
+            record.level(),
+            record.args()
+        );
+        if self.sender.try_send(LogItem::Line(line)).is_err() {
+            metrics::counter!("toucanledge_log_lines_dropped_total").increment(1);
+        }
+        Ok(())
+    }
+
+    fn flush(&self) -> io::Result<()> {
+        let (done, flushed) = mpsc::sync_channel(1);
+        if self.sender.try_send(LogItem::Flush(done)).is_ok() {
+            // A timeout means that nobody reads the output; the process must not wait for it.
+            let _ = flushed.recv_timeout(FLUSH_LIMIT);
+        }
+        Ok(())
+    }
+}
+
+fn write_lines(receiver: &mpsc::Receiver<LogItem>) {
+    let mut waiting: Vec<mpsc::SyncSender<()>> = Vec::new();
+    while let Ok(first) = receiver.recv() {
+        let mut text = String::new();
+        let mut items = Some(first);
+        if matches!(items, Some(LogItem::Line(_))) {
+            thread::sleep(GATHER);
+        }
+        while let Some(item) = items.take().or_else(|| receiver.try_recv().ok()) {
+            match item {
+                LogItem::Line(line) => text.push_str(&line),
+                LogItem::Flush(done) => waiting.push(done),
+            }
+        }
+        let mut output = io::stdout().lock();
+        let written = output
+            .write_all(text.as_bytes())
+            .and_then(|()| output.flush());
+        if written.is_err() {
+            static LOST: sync::Once = sync::Once::new();
+            LOST.call_once(|| {
+                metrics::counter!("toucanledge_log_output_lost_total").increment(1);
+            });
+        }
+        for done in waiting.drain(..) {
+            // The flushing thread may have stopped waiting.
+            let _ = done.try_send(());
+        }
+    }
+}
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -13,6 +13,7 @@
 use crate::dialect::HeaderDialect;
 use crate::engine::FrontEngine;
 use crate::error::{FrontError, FrontStep};
+use crate::log_queue::LogQueue;
 use crate::peers;
 use crate::reader;
 use crate::settings::FrontSettings;
@@ -35,12 +36,13 @@
     dialect: HeaderDialect,
     source: FactSource,
 ) -> Result<(), Report<FrontError>> {
-    let _logger = flexi_logger::Logger::try_with_str(&settings.log)
-        .and_then(|logger| logger.log_to_stdout().format(log_line).start())
-        .change_context(FrontError::local(FrontStep::StartLog))?;
     let metrics = metrics_exporter_prometheus::PrometheusBuilder::new()
         .install_recorder()
         .change_context(FrontError::local(FrontStep::StartMetrics))?;
+    let queue = LogQueue::start().change_context(FrontError::local(FrontStep::StartLog))?;
+    let _logger = flexi_logger::Logger::try_with_str(&settings.log)
+        .and_then(|logger| logger.log_to_writer(Box::new(queue)).start())
+        .change_context(FrontError::local(FrontStep::StartLog))?;
     // Entry VMs have one core or part of one, so more threads only cost.
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -50,14 +52,6 @@
     runtime.block_on(serve(sync::Arc::new(engine), source, metrics))
 }
 
-fn log_line(
-    writer: &mut dyn std::io::Write,
-    _now: &mut flexi_logger::DeferredNow,
-    record: &log::Record<'_>,
-) -> Result<(), std::io::Error> {
-    write!(writer, "{} {}", record.level(), record.args())
-}
-
 async fn serve(
     engine: sync::Arc<FrontEngine>,
     source: FactSource,
@@ -128,5 +122,6 @@
         tokio::time::sleep(STOP_LOOK).await;
     }
     log::info!("[front] stopped");
+    log::logger().flush();
     Ok(())
 }
