refactor(steering): tell other failure domains only of turns

Ruled out: datagrams as the main part. Most of it are 273 of 930 publications that leave the domain when both servers of it are suspects.

Change: other domains hear when a server turns suspect or well, not of each failure; suspects are tried in their own domain first; explorers have no reason to leave it; heartbeats to other domains every 6 s instead of 2 s.

--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -21,7 +21,7 @@
 /// notice well within the 2 s in which leaving backend servers must be known.
 const READER_BEAT_MS: u64 = 200;
 /// Heartbeats inside the failure domain for one to other failure domains, whose bytes are dear.
-const FAR_BEATS: u64 = 5;
+const FAR_BEATS: u64 = 15;
 /// Time in milliseconds between two greetings of seeds that are not heard.
 const SEED_MS: u64 = 1_200;
 /// Peers named in an answer to a gateway that was unknown.
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -172,7 +172,8 @@
         if let Some(request) = request {
             self.crashes.note(request, server, now);
         }
-        if change == HealthChange::Unchanged && request.is_none() {
+        let everywhere = matches!(change, HealthChange::Suspected | HealthChange::Cleared);
+        if !everywhere && request.is_none() {
             if self.near_outbox.len() < MAX_OUTBOX {
                 self.near_outbox.push(EvidenceNote {
                     server,
@@ -182,7 +183,7 @@
                     request: None,
                 });
             }
-            return false;
+            return change == HealthChange::StillSuspect;
         }
         let name: &'static str = evidence.into();
         metrics::counter!("toucanledge_evidence_total", "kind" => name).increment(1);
--- a/crates/steering/src/choice.rs
+++ b/crates/steering/src/choice.rs
@@ -27,6 +27,9 @@
 const PROOF_AGE_S: f64 = 4.0;
 /// Age of a last success in seconds from which it counts as unknown.
 const MAX_PROOF_AGE_S: f64 = 2.0;
+/// Time in milliseconds after which gateways of other failure domains try a suspect as well; those of
+/// its own hear of each further failure and know when a trial is due.
+const FAR_TRIAL_MS: u64 = 4_000;
 /// Share of repeatable requests that try a suspect when one is due.
 const TRIAL_SHARE: f64 = 0.5;
 /// Share of other requests that try a suspect whose absence is over.
@@ -145,8 +148,11 @@
         } else {
             !plan.explored && health.absence_over(now)
         };
+        let near =
+            *entry.row.domain == *plan.domain || now.since(health.last_failure()) >= FAR_TRIAL_MS;
         health.suspect()
             && health.reachable(now)
+            && near
             && time
             && entry.trials == 0
             && entry.load() < entry.row.slots
@@ -180,7 +186,8 @@
     };
     let load = f64::from(entry.load() + 1) / slots * slowness;
     let mut score = (load - FREE_SHARE).max(0.0) * LOAD_WEIGHT + rng.random::<f64>() * JITTER;
-    if *entry.row.domain != *plan.domain {
+    let far = *entry.row.domain != *plan.domain;
+    if far {
         score += DOMAIN_PENALTY;
     }
     if now < entry.cold_until {
@@ -192,7 +199,10 @@
     let age = u32::try_from(now.since(entry.health.last_success())).unwrap_or(u32::MAX);
     let age = (f64::from(age) / 1000.0).min(MAX_PROOF_AGE_S);
     let may_lose = plan.repeat == RepeatRule::Repeatable && plan.retry_left;
-    if may_lose {
+    if may_lose && far {
+        // Gateways of that domain explore it, and tell nobody here of their successes.
+        score + MAX_PROOF_AGE_S / PROOF_AGE_S
+    } else if may_lose {
         score + (MAX_PROOF_AGE_S - age) / PROOF_AGE_S
     } else {
         score + age / PROOF_AGE_S
