--- a/crates/front/src/engine.rs
+++ b/crates/front/src/engine.rs
@@ -257,6 +257,9 @@
                 }
                 TryStep::Again(reason, answer) => {
                     sends += 1;
+                    let name: &'static str = reason.into();
+                    metrics::counter!("toucanledge_failed_sends_total", "reason" => name)
+                        .increment(1);
                     last = (reason, answer);
                     if sends >= routed.route.max_tries {
                         return give_up(last, trace);
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -141,9 +141,10 @@
 
     /// Drops what is out of date and suspects servers that hold requests for too long.
     pub fn expire(&mut self, now: Millis) {
-        for server in self.servers.stalled(now) {
+        for name in self.servers.stalled(now) {
+            let server = ServerId::of(&name);
             if self.witness(server, ServerEvidence::Silent, 0, None, now) {
-                log::info!("[health] server={:016x} evidence=stalled", server.0);
+                log::info!("[health] server={name} evidence=stalled");
             }
         }
         for (server, before, after) in self.peers.expire(now) {
--- a/crates/steering/src/arena.rs
+++ b/crates/steering/src/arena.rs
@@ -1,6 +1,7 @@
 //! All backend servers that a gateway knows.
 
 use std::collections;
+use std::sync;
 
 use slotmap::SlotMap;
 use toucanledge_core::{Millis, PoolId};
@@ -184,7 +185,7 @@
     /// Returns the backend servers that hold a request of this gateway for far too long while they
     /// answered nobody since it began.
     #[must_use]
-    pub fn stalled(&self, now: Millis) -> Vec<ServerId> {
+    pub fn stalled(&self, now: Millis) -> Vec<sync::Arc<str>> {
         let usual: collections::HashMap<PoolId, f64> = self
             .pools
             .keys()
@@ -196,14 +197,14 @@
                 let Some(oldest) = entry.starts.iter().min() else {
                     return false;
                 };
-                let usual = usual.get(&entry.row.pool).copied().unwrap_or(STALL_MIN_MS);
+                let usual = usual.get(&entry.row.pool).copied().unwrap_or_default();
                 let limit = (usual * STALL_TIMES).max(STALL_MIN_MS);
                 let age = u32::try_from(now.since(*oldest)).map_or(f64::MAX, f64::from);
                 let quiet =
                     entry.health.last_success() < *oldest && entry.health.last_failure() < *oldest;
                 age > limit && quiet
             })
-            .map(|entry| ServerId::of(&entry.row.name))
+            .map(|entry| sync::Arc::clone(&entry.row.name))
             .collect()
     }
 
--- a/crates/steering/tests/choice.rs
+++ b/crates/steering/tests/choice.rs
@@ -217,7 +217,7 @@
     assert!(arena.stalled(Millis(1_700)).is_empty());
     assert_eq!(
         arena.stalled(Millis(1_900)),
-        [support::id(0)],
+        ["s0".into()],
         "the other answered meanwhile"
     );
 }
