fix(front): greet the seeds every 60 ms while alone

Cause: after all processes were killed, gateways knew nobody for 1.2 s: the seeds start up to 0.3 s after the others, and the next greeting came 1.2 s later. Meanwhile each one learnt of failing servers by its own losses.

--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -24,6 +24,11 @@
 const FAR_BEATS: u64 = 15;
 /// Time in milliseconds between two greetings of seeds that are not heard.
 const SEED_MS: u64 = 1_200;
+/// The same for a gateway that hears nobody. Processes that were killed together start within 0.3 s
+/// of each other, the seeds among them; a gateway alone learns of failing servers by losses only.
+const ALONE_SEED_MS: u64 = 60;
+/// Time in milliseconds after which a gateway that hears nobody greets as seldom as others.
+const ALONE_MS: u64 = 10_000;
 /// Peers named in an answer to a gateway that was unknown.
 const MAX_NAMED: usize = 64;
 /// Greatest datagram in bytes that is read.
@@ -103,7 +108,7 @@
     let mut next_seeds = Millis::default();
     loop {
         let now = engine.clock.now();
-        let wait = time::Duration::from_millis(next_beat.since(now));
+        let wait = time::Duration::from_millis(next_beat.min(next_seeds).since(now));
         tokio::select! {
             () = engine.outbound.notified() => tokio::time::sleep(GATHER).await,
             () = tokio::time::sleep(wait) => {}
@@ -124,7 +129,13 @@
         flush(&socket, &engine, &mut sequence, beat, beats).await;
         let told = engine.greetings_due.swap(false, atomic::Ordering::Relaxed);
         if told || now >= next_seeds {
-            next_seeds = now + SEED_MS;
+            let alone = engine.state().peers.live(now).next().is_none();
+            let pause = if alone && now.0 < ALONE_MS {
+                ALONE_SEED_MS
+            } else {
+                SEED_MS
+            };
+            next_seeds = now + pause;
             greet(&socket, &engine, &mut sequence).await;
         }
     }
