feat(steering): count the retry budget over the last ten seconds

Cause: saved tokens were bounded by 1.5 a gateway, so what a gateway had not used before a failure was lost when it came.

Change: retries of the last 10 s against requests of the last 10 s; a part is kept for failed requests when others ask whether they may risk a trial.

--- a/crates/front/src/engine.rs
+++ b/crates/front/src/engine.rs
@@ -189,7 +189,9 @@
                 retry_slack,
                 ..
             } = self.settings;
-            state.budget(pool).earn(retry_ratio, retry_slack, gateways);
+            state
+                .budget(pool)
+                .earn(retry_ratio, retry_slack, gateways, arrived);
         }
         let max_body = table.limits().body_bytes;
         let request = request::read_request(head, body, max_body, &self.memory).await?;
@@ -217,7 +219,7 @@
             if now >= routed.deadline {
                 return give_up(last, trace);
             }
-            if sends > 0 && !self.state().budget(routed.pool).take() {
+            if sends > 0 && !self.state().budget(routed.pool).take(now) {
                 trace.budget_spent = true;
                 return give_up(last, trace);
             }
@@ -225,7 +227,7 @@
                 Ok(target) => target,
                 Err(reason) => {
                     if sends > 0 {
-                        self.state().budget(routed.pool).give_back();
+                        self.state().budget(routed.pool).give_back(now);
                     }
                     if reason == RefusalReason::Full && connects < MAX_CONNECTS && sends == 0 {
                         connects += 1;
@@ -245,7 +247,7 @@
                 TryStep::Done(answer) => return answer,
                 TryStep::Connect(reason) => {
                     if sends > 0 {
-                        self.state().budget(routed.pool).give_back();
+                        self.state().budget(routed.pool).give_back(now);
                     }
                     connects += 1;
                     if last.1.is_none() && sends == 0 {
@@ -282,7 +284,7 @@
         }
         let repeatable = routed.route.repeat == RepeatRule::Repeatable;
         let tries_left = sends + 1 < routed.route.max_tries;
-        let retry_left = repeatable && tries_left && state.budget(routed.pool).any();
+        let retry_left = repeatable && tries_left && state.budget(routed.pool).spare(now);
         if repeatable {
             state.note_explorer(routed.pool, now);
         }
--- a/crates/steering/src/budget.rs
+++ b/crates/steering/src/budget.rs
@@ -1,56 +1,111 @@
 //! The share of the fleet's retry budget that one gateway may use.
 
+use toucanledge_core::Millis;
+
 /// Part of the budget's ratio that a gateway uses; the rest covers requests that were counted but
 /// never reached the pool.
 const RATIO_SHARE: f64 = 0.95;
-/// Part of the fleet's fixed allowance that all gateways together use.
-const SLACK_SHARE: f64 = 0.9;
-/// Most retries that a gateway may save up, beside its part of the fixed allowance.
-const MAX_SAVED: f64 = 4.0;
+/// Part of the fleet's fixed allowance that all gateways together use. A restarted gateway does not
+/// know what it used before, so half is kept for that.
+const SLACK_SHARE: f64 = 0.5;
+/// Greatest part of the fixed allowance of one gateway; after a restart it knows few peers and would
+/// take too much.
+const MAX_SLACK: f64 = 1.5;
+/// Part of the allowance that stays for requests that failed, when others ask whether they may risk
+/// a try.
+const RESERVE_SHARE: f64 = 0.3;
+/// Time in milliseconds that one count covers.
+const COUNT_MS: u64 = 500;
+/// Counts that a window of 10 s spans for requests; the running one makes it a little shorter.
+const REQUEST_COUNTS: u64 = 20;
+/// Counts that a window of 10 s spans for retries; one more makes it a little longer.
+const RETRY_COUNTS: u64 = 21;
+/// Counts that are kept.
+const KEPT_COUNTS: usize = 21;
 
 /// Retries that one gateway may make to one pool.
 ///
-/// Each request earns the ratio. What is earned and not used is kept up to the gateway's part of
-/// the fixed allowance, so the sum over the fleet stays within the budget in every window.
-#[derive(Clone, Debug)]
+/// In every window the gateway's retries stay within the ratio of its requests and its part of the
+/// fixed allowance, so the sum over the fleet stays within the budget. What was not used before a
+/// failure is there when it comes.
+#[derive(Clone, Debug, Default)]
 pub struct RetryBudget {
-    tokens: f64,
+    counts: [WindowCount; KEPT_COUNTS],
+    slack: f64,
+    ratio: f64,
 }
 
-impl Default for RetryBudget {
-    fn default() -> Self {
-        Self { tokens: 1.0 }
-    }
+#[derive(Clone, Copy, Debug, Default)]
+struct WindowCount {
+    index: u64,
+    requests: u32,
+    retries: u32,
 }
 
 impl RetryBudget {
     /// Counts a request for the pool.
-    pub fn earn(&mut self, ratio: f64, slack: f64, gateways: usize) {
-        self.tokens = (self.tokens + ratio * RATIO_SHARE).min(Self::cap(slack, gateways));
+    pub fn earn(&mut self, ratio: f64, slack: f64, gateways: usize, now: Millis) {
+        let gateways = u32::try_from(gateways.max(1)).map_or(f64::MAX, f64::from);
+        self.ratio = ratio * RATIO_SHARE;
+        self.slack = (slack * SLACK_SHARE / gateways).min(MAX_SLACK);
+        self.count(now).requests += 1;
     }
 
     /// Takes one retry and returns whether it was allowed.
-    pub fn take(&mut self) -> bool {
-        let allowed = self.tokens >= 1.0;
+    pub fn take(&mut self, now: Millis) -> bool {
+        let allowed = self.left(now) >= 1.0;
         if allowed {
-            self.tokens -= 1.0;
+            self.count(now).retries += 1;
         }
         allowed
     }
 
-    /// Returns whether a retry is left.
+    /// Returns whether a request may risk a try that may have to be repeated.
     #[must_use]
-    pub fn any(&self) -> bool {
-        self.tokens >= 1.0
+    pub fn spare(&self, now: Millis) -> bool {
+        self.left(now) >= 1.0_f64.max(self.allowed(now) * RESERVE_SHARE)
     }
 
     /// Returns a retry that was taken and not used.
-    pub fn give_back(&mut self) {
-        self.tokens += 1.0;
+    pub fn give_back(&mut self, now: Millis) {
+        let count = self.count(now);
+        count.retries = count.retries.saturating_sub(1);
     }
 
-    fn cap(slack: f64, gateways: usize) -> f64 {
-        let gateways = u32::try_from(gateways.max(1)).map_or(f64::MAX, f64::from);
-        (slack * SLACK_SHARE / gateways).clamp(1.0, MAX_SAVED)
+    fn left(&self, now: Millis) -> f64 {
+        let retries: u32 = self
+            .within(now, RETRY_COUNTS)
+            .map(|count| count.retries)
+            .sum();
+        self.allowed(now) - f64::from(retries)
+    }
+
+    fn allowed(&self, now: Millis) -> f64 {
+        let requests: u32 = self
+            .within(now, REQUEST_COUNTS)
+            .map(|count| count.requests)
+            .sum();
+        f64::from(requests) * self.ratio + self.slack
+    }
+
+    fn within(&self, now: Millis, counts: u64) -> impl Iterator<Item = &WindowCount> {
+        let index = now.0 / COUNT_MS;
+        self.counts
+            .iter()
+            .filter(move |count| count.index + counts > index && count.index <= index)
+    }
+
+    fn count(&mut self, now: Millis) -> &mut WindowCount {
+        let index = now.0 / COUNT_MS;
+        let place = usize::try_from(index % KEPT_COUNTS as u64).unwrap_or_default();
+        let count = &mut self.counts[place];
+        if count.index != index {
+            *count = WindowCount {
+                index,
+                requests: 0,
+                retries: 0,
+            };
+        }
+        count
     }
 }
