feat(front): pass evidence on inside other failure domains

Besides, a newcomer was only told of gateways heard within 1.6 s, which leaves out other domains since their heartbeats come every 6 s.

Change: evidence goes to two gateways of each other domain, chosen anew each time, which pass it on; a newcomer is told of its own domain first, then of all others that are remembered (test that fails without it).

--- a/crates/front/src/note.rs
+++ b/crates/front/src/note.rs
@@ -14,6 +14,7 @@
 const FLAG_READING: u8 = 1;
 const FLAG_STOPPING: u8 = 2;
 const FLAG_FULL: u8 = 4;
+const FLAG_RELAY: u8 = 8;
 
 /// Datagram as it is written; tuples keep field names off the wire.
 #[derive(Serialize, Deserialize)]
@@ -80,6 +81,9 @@
         if note.full {
             flags |= FLAG_FULL;
         }
+        if note.relay {
+            flags |= FLAG_RELAY;
+        }
         let peers = note.peers.iter().filter_map(|peer| match peer {
             net::SocketAddr::V4(peer) => Some(*peer),
             net::SocketAddr::V6(_) => None,
@@ -120,6 +124,7 @@
             revision,
             reading: flags & FLAG_READING != 0,
             stopping: flags & FLAG_STOPPING != 0,
+            relay: flags & FLAG_RELAY != 0,
             full: flags & FLAG_FULL != 0,
             loads: loads
                 .into_iter()
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic;
 use std::time;
 
+use rand::seq::IndexedRandom;
 use toucanledge_core::Millis;
 use toucanledge_steering::{PeerId, PeerNote};
 use xxhash_rust::xxh3;
@@ -30,10 +31,14 @@
 /// Time in milliseconds after which a gateway that hears nobody greets as seldom as others.
 const ALONE_MS: u64 = 10_000;
 /// Peers named in an answer to a gateway that was unknown.
-const MAX_NAMED: usize = 64;
+const MAX_NAMED: usize = 160;
 /// Greatest datagram in bytes that is read.
 const MAX_DATAGRAM: usize = 16 * 1024;
 
+/// Gateways of each other failure domain that are told of evidence and pass it on inside it. Bytes
+/// between domains are dear, and two may lose one datagram or one gateway.
+const RELAYS: usize = 2;
+
 /// Returns the hash of a failure domain's name.
 #[must_use]
 pub fn domain_hash(name: &str) -> u64 {
@@ -74,21 +79,15 @@
         let behind = told.reading && told.revision > state.facts.revision();
         (unknown, near && (behind || turned))
     };
+    if told.relay {
+        engine.outbound.notify_one();
+    }
     if look {
         engine.facts_wanted.notify_one();
     }
     if unknown {
         log::info!("[peers] heard peer={from} boot={}", told.boot.0);
-        let named: Vec<PeerId> = {
-            let state = engine.state();
-            state
-                .peers
-                .live(now)
-                .map(|(peer, _)| peer)
-                .filter(|peer| *peer != from)
-                .take(MAX_NAMED)
-                .collect()
-        };
+        let named = engine.state().peers.names_for(from, told.domain, MAX_NAMED);
         let mut note = base_note(engine, 0);
         note.peers = named;
         // Sequence 0 is never newer than a heartbeat, so the greeting changes no load.
@@ -163,7 +162,7 @@
             if known.domain == own {
                 near.push(peer);
             } else {
-                far.push(peer);
+                far.push((known.domain, peer));
             }
         }
         (news, loads, evidence, near_evidence, near, far)
@@ -182,16 +181,42 @@
         send(socket, &datagram, peer).await;
     }
     note.evidence = evidence;
-    let far_beat = beat && beats.is_multiple_of(FAR_BEATS);
-    if far_beat || !note.evidence.is_empty() {
-        note.loads.clear();
+    note.loads.clear();
+    if !note.evidence.is_empty() {
+        note.relay = true;
+        let datagram = note::encode_note(&note);
+        for peer in choose_relays(&far) {
+            send(socket, &datagram, peer).await;
+        }
+    }
+    if beat && beats.is_multiple_of(FAR_BEATS) {
+        note.relay = false;
+        note.evidence.clear();
         let datagram = note::encode_note(&note);
-        for peer in far {
+        for (_, peer) in far {
             send(socket, &datagram, peer).await;
         }
     }
 }
 
+/// Returns some gateways of each failure domain, others each time, since some may be gone.
+fn choose_relays(far: &[(u64, PeerId)]) -> Vec<PeerId> {
+    let mut domains: collections::HashMap<u64, Vec<PeerId>> = collections::HashMap::new();
+    for (domain, peer) in far {
+        domains.entry(*domain).or_default().push(*peer);
+    }
+    let mut rng = rand::rng();
+    domains
+        .values()
+        .flat_map(|peers| {
+            peers
+                .choose_multiple(&mut rng, RELAYS)
+                .copied()
+                .collect::<Vec<_>>()
+        })
+        .collect()
+}
+
 /// Greets gateways that are not known yet: silent seeds and those that peers spoke of.
 async fn greet(
     socket: &tokio::net::UdpSocket,
@@ -232,6 +257,7 @@
         revision: state.facts.revision(),
         reading: state.reading,
         stopping: state.stopping,
+        relay: false,
         full: false,
         loads: Vec::new(),
         evidence: Vec::new(),
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -222,6 +222,12 @@
             if let Some(request) = told.request {
                 self.crashes.note(request, told.server, at);
             }
+            if note.relay && self.near_outbox.len() < MAX_OUTBOX {
+                self.near_outbox.push(EvidenceNote {
+                    age_ms: at.0,
+                    ..*told
+                });
+            }
         }
     }
 
--- a/crates/front/tests/notes.rs
+++ b/crates/front/tests/notes.rs
@@ -28,7 +28,7 @@
 
 fn note() -> impl Strategy<Value = PeerNote> {
     let head = (any::<u64>(), any::<u64>(), any::<u64>(), any::<u64>());
-    let flags = (any::<bool>(), any::<bool>(), any::<bool>());
+    let flags = (any::<bool>(), any::<bool>(), any::<bool>(), any::<bool>());
     let loads = proptest::collection::vec((any::<u64>(), any::<u32>()), 0..20);
     let evidence = proptest::collection::vec(evidence(), 0..10);
     let peers = proptest::collection::vec((any::<u32>(), any::<u16>()), 0..10);
@@ -41,6 +41,7 @@
             reading: flags.0,
             stopping: flags.1,
             full: flags.2,
+            relay: flags.3,
             loads: loads
                 .into_iter()
                 .map(|(server, load)| (ServerId(server), load))
@@ -88,6 +89,7 @@
         revision: 1,
         reading: false,
         stopping: false,
+        relay: false,
         full: true,
         loads: vec![(ServerId(1), 1); 1_025],
         evidence: Vec::new(),
--- a/crates/steering/src/peers.rs
+++ b/crates/steering/src/peers.rs
@@ -46,6 +46,8 @@
     pub reading: bool,
     /// Whether the sender is stopping.
     pub stopping: bool,
+    /// Whether the receiver is to pass the evidence on inside its failure domain.
+    pub relay: bool,
     /// Whether `loads` names every backend server at which the sender has requests.
     pub full: bool,
     /// Requests of the sender in flight, by backend server.
@@ -183,6 +185,27 @@
         self.peers.iter().map(|(peer, state)| (*peer, state))
     }
 
+    /// Returns the gateways to name to one that is new: those of its failure domain first.
+    ///
+    /// Gateways of other domains are heard every few seconds only, so that those heard of late alone
+    /// would leave out most.
+    #[must_use]
+    pub fn names_for(&self, newcomer: PeerId, domain: u64, most: usize) -> Vec<PeerId> {
+        let own = self
+            .peers
+            .iter()
+            .filter(|(_, state)| state.domain == domain);
+        let others = self
+            .peers
+            .iter()
+            .filter(|(_, state)| state.domain != domain);
+        own.chain(others)
+            .map(|(peer, _)| *peer)
+            .filter(|peer| *peer != newcomer)
+            .take(most)
+            .collect()
+    }
+
     /// Takes and returns the gateways that only others have spoken of.
     pub fn take_rumours(&mut self) -> Vec<PeerId> {
         std::mem::take(&mut self.rumours).into_iter().collect()
--- a/crates/steering/tests/peers.rs
+++ b/crates/steering/tests/peers.rs
@@ -53,6 +53,21 @@
     assert_eq!(table.known().count(), 0);
 }
 
+/// Gateways of other failure domains are heard every 6 s. A newcomer whose seeds are all elsewhere
+/// must still be told of its own domain.
+#[test]
+fn a_newcomer_is_told_of_its_own_domain_first() {
+    let mut table = PeerTable::default();
+    for (index, domain) in [(1, 7), (2, 8), (3, 9), (4, 8)] {
+        let mut note = support::note(1);
+        note.domain = domain;
+        table.hear(support::peer(index), &note, Millis(0));
+    }
+    table.expire(Millis(5_000));
+    let named = table.names_for(support::peer(4), 8, 3);
+    assert_eq!(named, [2, 1, 3].map(support::peer));
+}
+
 proptest! {
     /// The load that a server seems to have is the sum of what each peer told last.
     #[test]
--- a/crates/steering/tests/support.rs
+++ b/crates/steering/tests/support.rs
@@ -45,6 +45,7 @@
         revision: 0,
         reading: false,
         stopping: false,
+        relay: false,
         full: false,
         loads: Vec::new(),
         evidence: Vec::new(),
