refactor: one place for heads of messages, one enum for the scope of a note

Change: crates/head holds the headers to forward and the shapes to refuse, used by both gateways; what the end of an exchange means has a module of its own; a note says in one enum how it is to be taken.

--- a/crates/front/src/engine.rs
+++ b/crates/front/src/engine.rs
@@ -3,7 +3,6 @@
 use std::sync;
 use std::time;
 
-use http_body_util::Full;
 use hyper::body;
 use hyper::header;
 use toucanledge_core::{Millis, PoolId};
@@ -19,6 +18,7 @@
 use crate::dialect::HeaderDialect;
 use crate::exchange;
 use crate::exchange::{ConnectFailure, ExchangeEnd, ServerAnswer};
+use crate::outcome;
 use crate::request;
 use crate::request::CallerRequest;
 use crate::settings::FrontSettings;
@@ -33,12 +33,10 @@
 const MAX_CONNECTS: usize = 6;
 /// Pause in milliseconds before servers that refused are tried again.
 const AGAIN_MS: u64 = 40;
-/// Time in milliseconds after which a refused caller may come back.
-const COME_BACK_MS: u64 = 50;
 /// Time in milliseconds for which a request waits for the first facts of a gateway that just
 /// started; a read of the platform takes a few milliseconds.
 const FIRST_FACTS_MS: u64 = 300;
-/// The same where a gateway has no published facts or no backend server.
+/// Time in milliseconds after which a caller may come back where a gateway has no published facts or no backend server.
 const NO_FACTS_MS: u64 = 400;
 
 /// Everything that serves callers.
@@ -124,7 +122,7 @@
                 trace.refused = Some(reason);
                 let wait = match reason {
                     RefusalReason::NoTable => NO_FACTS_MS,
-                    _ => COME_BACK_MS,
+                    _ => outcome::COME_BACK_MS,
                 };
                 answer::refusal(reason, wait)
             }
@@ -157,7 +155,9 @@
         arrived: Millis,
         trace: &mut RequestTrace,
     ) -> Result<RoutedRequest, RefusalReason> {
-        request::check_head(&head)?;
+        if toucanledge_head::is_ambiguous(&head) {
+            return Err(RefusalReason::BadRequest);
+        }
         self.wait_for_facts().await;
         let table = self.state().table.clone().ok_or(RefusalReason::NoTable)?;
         trace.version = table.version();
@@ -217,11 +217,11 @@
         loop {
             let now = self.clock.now();
             if now >= routed.deadline {
-                return give_up(last, trace);
+                return outcome::give_up(last, trace);
             }
             if sends > 0 && !self.state().budget(routed.pool).take(now) {
                 trace.budget_spent = true;
-                return give_up(last, trace);
+                return outcome::give_up(last, trace);
             }
             let target = match self.pick(routed, &tried, sends, now) {
                 Ok(target) => target,
@@ -238,7 +238,7 @@
                     if last.0 == RefusalReason::TooLate {
                         last.0 = reason;
                     }
-                    return give_up(last, trace);
+                    return outcome::give_up(last, trace);
                 }
             };
             tried.push(target.key);
@@ -254,7 +254,7 @@
                         last.0 = reason;
                     }
                     if connects >= MAX_CONNECTS {
-                        return give_up(last, trace);
+                        return outcome::give_up(last, trace);
                     }
                 }
                 TryStep::Again(reason, answer) => {
@@ -264,7 +264,7 @@
                         .increment(1);
                     last = (reason, answer);
                     if sends >= routed.route.max_tries {
-                        return give_up(last, trace);
+                        return outcome::give_up(last, trace);
                     }
                 }
             }
@@ -345,7 +345,7 @@
         let end = exchange::exchange(stream, outgoing, &self.dialect, deadline).await;
         let took = self.clock.now().since(now);
         drop(flight);
-        trace.ends.push(end_name(&end));
+        trace.ends.push(outcome::end_name(&end));
         self.judge(routed, &target, end, took)
     }
 
@@ -376,7 +376,7 @@
         took: u64,
     ) -> TryStep {
         let repeatable = routed.route.repeat == RepeatRule::Repeatable;
-        let evidence = evidence_of(&end);
+        let evidence = outcome::evidence_of(&end);
         let crash = matches!(end, ExchangeEnd::Broken).then_some(routed.request.fingerprint);
         if self
             .state()
@@ -393,7 +393,7 @@
             if repeatable {
                 TryStep::Again(reason, None)
             } else {
-                TryStep::Done(answer::refusal(reason, COME_BACK_MS))
+                TryStep::Done(answer::refusal(reason, outcome::COME_BACK_MS))
             }
         };
         match end {
@@ -402,7 +402,7 @@
                 if lost && repeatable {
                     TryStep::Again(RefusalReason::Broken, Some(server_answer))
                 } else {
-                    TryStep::Done(pass_on(server_answer))
+                    TryStep::Done(outcome::pass_on(server_answer))
                 }
             }
             ExchangeEnd::Full => TryStep::Again(RefusalReason::Full, None),
@@ -416,46 +416,3 @@
         }
     }
 }
-
-fn evidence_of(end: &ExchangeEnd) -> ServerEvidence {
-    match end {
-        ExchangeEnd::Answered(answer) if answer.status.is_server_error() => {
-            ServerEvidence::OwnError
-        }
-        ExchangeEnd::Answered(_) => ServerEvidence::Success,
-        ExchangeEnd::Full | ExchangeEnd::WrongServer => ServerEvidence::Full,
-        ExchangeEnd::Broken => ServerEvidence::Broken,
-        ExchangeEnd::BadAnswer => ServerEvidence::BadAnswer,
-        ExchangeEnd::Silent => ServerEvidence::Silent,
-    }
-}
-
-fn end_name(end: &ExchangeEnd) -> String {
-    match end {
-        ExchangeEnd::Answered(answer) => answer.status.as_u16().to_string(),
-        ExchangeEnd::Full => "full".to_owned(),
-        ExchangeEnd::WrongServer => "wrong-server".to_owned(),
-        ExchangeEnd::Broken => "broken".to_owned(),
-        ExchangeEnd::BadAnswer => "bad-answer".to_owned(),
-        ExchangeEnd::Silent => "silent".to_owned(),
-    }
-}
-
-/// Answers with the last failure: the backend server's own answer where there is one.
-fn give_up(
-    (reason, server_answer): (RefusalReason, Option<ServerAnswer>),
-    trace: &mut RequestTrace,
-) -> CallerAnswer {
-    trace.refused = Some(reason);
-    match server_answer {
-        Some(server_answer) => pass_on(server_answer),
-        None => answer::refusal(reason, COME_BACK_MS),
-    }
-}
-
-fn pass_on(server_answer: ServerAnswer) -> CallerAnswer {
-    let mut answer = hyper::Response::new(Full::new(server_answer.body));
-    *answer.status_mut() = server_answer.status;
-    *answer.headers_mut() = server_answer.headers;
-    answer
-}
--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -12,7 +12,6 @@
 use hyper_util::rt;
 
 use crate::dialect::HeaderDialect;
-use crate::request;
 use crate::request::CallerRequest;
 
 /// Greatest size in bytes of an answer, which the gateway holds whole before it passes it on.
@@ -102,7 +101,7 @@
         }
         match Limited::new(body, MAX_ANSWER_BYTES).collect().await {
             Ok(collected) => {
-                let mut headers = request::end_to_end(&parts.headers);
+                let mut headers = toucanledge_head::end_to_end(&parts.headers);
                 if !head {
                     headers.remove(header::CONTENT_LENGTH);
                 }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -14,6 +14,7 @@
 mod exchange;
 mod log_queue;
 mod note;
+mod outcome;
 mod peers;
 mod reader;
 mod request;
--- a/crates/front/src/note.rs
+++ b/crates/front/src/note.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 use toucanledge_core::{Fingerprint, Incarnation};
-use toucanledge_steering::{EvidenceNote, PeerNote, ServerEvidence, ServerId};
+use toucanledge_steering::{EvidenceNote, NoteScope, PeerNote, ServerEvidence, ServerId};
 
 /// Version of the format; a gateway ignores other versions.
 const NOTE_VERSION: u8 = 1;
@@ -78,12 +78,11 @@
         if note.stopping {
             flags |= FLAG_STOPPING;
         }
-        if note.full {
-            flags |= FLAG_FULL;
-        }
-        if note.relay {
-            flags |= FLAG_RELAY;
-        }
+        flags |= match note.scope {
+            NoteScope::Changes => 0,
+            NoteScope::Full => FLAG_FULL,
+            NoteScope::Relay => FLAG_RELAY,
+        };
         let peers = note.peers.iter().filter_map(|peer| match peer {
             net::SocketAddr::V4(peer) => Some(*peer),
             net::SocketAddr::V6(_) => None,
@@ -124,8 +123,13 @@
             revision,
             reading: flags & FLAG_READING != 0,
             stopping: flags & FLAG_STOPPING != 0,
-            relay: flags & FLAG_RELAY != 0,
-            full: flags & FLAG_FULL != 0,
+            scope: if flags & FLAG_RELAY != 0 {
+                NoteScope::Relay
+            } else if flags & FLAG_FULL != 0 {
+                NoteScope::Full
+            } else {
+                NoteScope::Changes
+            },
             loads: loads
                 .into_iter()
                 .map(|(server, load)| (ServerId(server), load))
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -8,7 +8,7 @@
 
 use rand::seq::IndexedRandom;
 use toucanledge_core::Millis;
-use toucanledge_steering::{PeerId, PeerNote};
+use toucanledge_steering::{NoteScope, PeerId, PeerNote};
 use xxhash_rust::xxh3;
 
 use crate::engine::FrontEngine;
@@ -79,7 +79,7 @@
         let behind = told.reading && told.revision > state.facts.revision();
         (unknown, near && (behind || turned))
     };
-    if told.relay {
+    if told.scope == NoteScope::Relay {
         engine.outbound.notify_one();
     }
     if look {
@@ -172,7 +172,9 @@
     }
     let mut note = base_note(engine, *sequence);
     *sequence += 1;
-    note.full = beat;
+    if beat {
+        note.scope = NoteScope::Full;
+    }
     note.loads = loads;
     note.evidence.clone_from(&evidence);
     note.evidence.extend(near_evidence);
@@ -183,14 +185,14 @@
     note.evidence = evidence;
     note.loads.clear();
     if !note.evidence.is_empty() {
-        note.relay = true;
+        note.scope = NoteScope::Relay;
         let datagram = note::encode_note(&note);
         for peer in choose_relays(&far) {
             send(socket, &datagram, peer).await;
         }
     }
     if beat && beats.is_multiple_of(FAR_BEATS) {
-        note.relay = false;
+        note.scope = NoteScope::Full;
         note.evidence.clear();
         let datagram = note::encode_note(&note);
         for (_, peer) in far {
@@ -239,9 +241,8 @@
     if targets.is_empty() {
         return;
     }
-    let mut note = base_note(engine, *sequence);
+    let note = base_note(engine, *sequence);
     *sequence += 1;
-    note.full = false;
     let datagram = note::encode_note(&note);
     for peer in targets {
         send(socket, &datagram, peer).await;
@@ -257,8 +258,7 @@
         revision: state.facts.revision(),
         reading: state.reading,
         stopping: state.stopping,
-        relay: false,
-        full: false,
+        scope: NoteScope::Changes,
         loads: Vec::new(),
         evidence: Vec::new(),
         peers: Vec::new(),
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -10,19 +10,6 @@
 
 use crate::answer::RefusalReason;
 
-/// Headers that concern one connection and are not forwarded.
-const HOP_HEADERS: [&str; 9] = [
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
-
 /// Unit of the buffer limit in bytes; a semaphore counts at most `u32` permits at a time.
 const BUFFER_UNIT: usize = 1024;
 
@@ -42,46 +29,6 @@
     _permits: Vec<tokio::sync::OwnedSemaphorePermit>,
 }
 
-/// Returns the headers without those that concern one connection only.
-#[must_use]
-pub fn end_to_end(headers: &hyper::HeaderMap) -> hyper::HeaderMap {
-    let named: Vec<String> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .map(|name| name.trim().to_ascii_lowercase())
-        .collect();
-    let mut kept = hyper::HeaderMap::with_capacity(headers.len());
-    for (name, value) in headers {
-        let lower = name.as_str();
-        if HOP_HEADERS.contains(&lower) || named.iter().any(|own| own == lower) {
-            continue;
-        }
-        kept.append(name.clone(), value.clone());
-    }
-    kept
-}
-
-/// Checks the shape of a head against request smuggling.
-///
-/// A head with both kinds of length is read as chunked by the HTTP library, which drops the other
-/// length and closes the connection after the answer, so nothing behind it is read.
-///
-/// # Errors
-///
-/// Returns why the request is refused.
-pub fn check_head(head: &hyper::http::request::Parts) -> Result<(), RefusalReason> {
-    let headers = &head.headers;
-    let many_lengths = headers.get_all(header::CONTENT_LENGTH).iter().count() > 1;
-    let many_hosts = headers.get_all(header::HOST).iter().count() > 1;
-    let unsupported = head.method == hyper::Method::CONNECT || headers.contains_key("upgrade");
-    if many_lengths || many_hosts || unsupported {
-        return Err(RefusalReason::BadRequest);
-    }
-    Ok(())
-}
-
 /// Reads a request whole.
 ///
 /// # Errors
@@ -105,7 +52,7 @@
         .map_or(&b""[..], header::HeaderValue::as_bytes);
     let fingerprint = Fingerprint::of(CallerHash::of(host), head.method.as_str(), &target, &body);
     Ok(CallerRequest {
-        headers: end_to_end(&head.headers),
+        headers: toucanledge_head::end_to_end(&head.headers),
         method: head.method,
         target,
         body,
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -5,7 +5,7 @@
 
 use toucanledge_core::{Fingerprint, Millis, PoolId};
 use toucanledge_steering::{
-    CrashLedger, EvidenceNote, Fact, FactLog, HealthChange, PeerId, PeerNote, PeerTable,
+    CrashLedger, EvidenceNote, Fact, FactLog, HealthChange, NoteScope, PeerId, PeerNote, PeerTable,
     RetryBudget, ServerArena, ServerEvidence, ServerId, ServerStage, SteeringTable,
 };
 
@@ -222,7 +222,7 @@
             if let Some(request) = told.request {
                 self.crashes.note(request, told.server, at);
             }
-            if note.relay && self.near_outbox.len() < MAX_OUTBOX {
+            if note.scope == NoteScope::Relay && self.near_outbox.len() < MAX_OUTBOX {
                 self.near_outbox.push(EvidenceNote {
                     age_ms: at.0,
                     ..*told
--- a/crates/front/tests/notes.rs
+++ b/crates/front/tests/notes.rs
@@ -5,7 +5,7 @@
 use proptest::prelude::*;
 use toucanledge_core::{Fingerprint, Incarnation};
 use toucanledge_front::{decode_note, encode_note};
-use toucanledge_steering::{EvidenceNote, PeerNote, ServerEvidence, ServerId};
+use toucanledge_steering::{EvidenceNote, NoteScope, PeerNote, ServerEvidence, ServerId};
 
 fn evidence() -> impl Strategy<Value = EvidenceNote> {
     (
@@ -28,7 +28,8 @@
 
 fn note() -> impl Strategy<Value = PeerNote> {
     let head = (any::<u64>(), any::<u64>(), any::<u64>(), any::<u64>());
-    let flags = (any::<bool>(), any::<bool>(), any::<bool>(), any::<bool>());
+    let scope = prop::sample::select(vec![NoteScope::Changes, NoteScope::Full, NoteScope::Relay]);
+    let flags = (any::<bool>(), any::<bool>(), scope);
     let loads = proptest::collection::vec((any::<u64>(), any::<u32>()), 0..20);
     let evidence = proptest::collection::vec(evidence(), 0..10);
     let peers = proptest::collection::vec((any::<u32>(), any::<u16>()), 0..10);
@@ -40,8 +41,7 @@
             revision: head.3,
             reading: flags.0,
             stopping: flags.1,
-            full: flags.2,
-            relay: flags.3,
+            scope: flags.2,
             loads: loads
                 .into_iter()
                 .map(|(server, load)| (ServerId(server), load))
@@ -89,8 +89,7 @@
         revision: 1,
         reading: false,
         stopping: false,
-        relay: false,
-        full: true,
+        scope: NoteScope::Full,
         loads: vec![(ServerId(1), 1); 1_025],
         evidence: Vec::new(),
         peers: Vec::new(),
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -19,7 +19,6 @@
 use crate::exchange::{BackendAnswer, BodyEnd, ExchangeEnd, ExchangePlan, StreamedBody};
 use crate::kernel::KernelHandle;
 use crate::plugin::{ClaimDecision, ClaimPermit, SlotDecision, SlotRequest, SlotTicket};
-use crate::request;
 use crate::request::CallerRequest;
 use crate::retry::RetryBudgets;
 use crate::tries;
@@ -456,7 +455,7 @@
 }
 
 fn clean_headers(headers: &hyper::HeaderMap) -> hyper::HeaderMap {
-    let mut cleaned = request::forwarded_headers(headers);
+    let mut cleaned = toucanledge_head::end_to_end(headers);
     for name in [
         exchange::STATE_HEADER,
         exchange::SHED_HEADER,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -6,7 +6,6 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body;
-use hyper::header;
 use toucanledge_core::{CallerHash, Fingerprint, RefusalReason};
 use toucanledge_slots::RouteHash;
 use xxhash_rust::xxh3;
@@ -14,19 +13,6 @@
 /// Unit of the buffer limit in bytes; a semaphore counts at most `u32` permits at a time.
 const BUFFER_UNIT: usize = 1024;
 
-/// Headers that concern one connection and are not forwarded.
-const HOP_HEADERS: [&str; 9] = [
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
-
 /// Bound on the request bodies that the gateway holds in memory at once.
 #[derive(Clone, Debug)]
 pub struct BufferLimit {
@@ -106,7 +92,9 @@
     limit: &BufferLimit,
 ) -> Result<CallerRequest, RefusalReason> {
     let (parts, body) = request.into_parts();
-    check_head(&parts)?;
+    if toucanledge_head::is_ambiguous(&parts) {
+        return Err(RefusalReason::BadRequest);
+    }
     let caller = identify_caller(&parts.headers, caller_header, remote);
     let (body, share) = read_body(body, limit).await?;
     let target = parts
@@ -118,7 +106,7 @@
     Ok(CallerRequest {
         method: parts.method,
         target,
-        headers: forwarded_headers(&parts.headers),
+        headers: toucanledge_head::end_to_end(&parts.headers),
         body,
         caller,
         fingerprint,
@@ -127,40 +115,6 @@
     })
 }
 
-/// Returns the headers without those that concern one connection only.
-#[must_use]
-pub fn forwarded_headers(headers: &hyper::HeaderMap) -> hyper::HeaderMap {
-    let named: Vec<String> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .map(|name| name.trim().to_ascii_lowercase())
-        .collect();
-    let mut forwarded = hyper::HeaderMap::with_capacity(headers.len());
-    for (name, value) in headers {
-        let lower = name.as_str();
-        if HOP_HEADERS.contains(&lower) || named.iter().any(|own| own == lower) {
-            continue;
-        }
-        forwarded.append(name.clone(), value.clone());
-    }
-    forwarded
-}
-
-fn check_head(parts: &hyper::http::request::Parts) -> Result<(), RefusalReason> {
-    let headers = &parts.headers;
-    let both_lengths = headers.contains_key(header::TRANSFER_ENCODING)
-        && headers.contains_key(header::CONTENT_LENGTH);
-    let many_lengths = headers.get_all(header::CONTENT_LENGTH).iter().count() > 1;
-    let many_hosts = headers.get_all(header::HOST).iter().count() > 1;
-    let unsupported = parts.method == hyper::Method::CONNECT || headers.contains_key("upgrade");
-    if both_lengths || many_lengths || many_hosts || unsupported {
-        return Err(RefusalReason::BadRequest);
-    }
-    Ok(())
-}
-
 fn identify_caller(
     headers: &hyper::HeaderMap,
     caller_header: &str,
--- /dev/null
+++ b/crates/head/tests/main.rs
@@ -0,0 +1,50 @@
+//! Guards against heads that the next hop would read differently.
+
+use hyper::header::HeaderValue;
+use hyper::{HeaderMap, Request};
+
+fn head(names: &[(&'static str, &'static str)]) -> hyper::http::request::Parts {
+    let (mut parts, ()) = Request::new(()).into_parts();
+    for (name, value) in names {
+        parts.headers.append(*name, HeaderValue::from_static(value));
+    }
+    parts
+}
+
+#[test]
+fn repeated_lengths_and_hosts_are_ambiguous() {
+    assert!(!toucanledge_head::is_ambiguous(&head(&[
+        ("host", "a"),
+        ("content-length", "4")
+    ])));
+    for names in [
+        [("content-length", "4"), ("content-length", "4")],
+        [("host", "a"), ("host", "b")],
+        [("connection", "upgrade"), ("upgrade", "x")],
+    ] {
+        assert!(toucanledge_head::is_ambiguous(&head(&names)), "{names:?}");
+    }
+    let mut tunnel = head(&[]);
+    tunnel.method = hyper::Method::CONNECT;
+    assert!(toucanledge_head::is_ambiguous(&tunnel));
+}
+
+#[test]
+fn hop_headers_are_dropped_and_repeated_ones_kept() {
+    let mut headers = HeaderMap::new();
+    for (name, value) in [
+        ("connection", "close, x-first"),
+        ("connection", "x-second"),
+        ("x-first", "1"),
+        ("x-second", "2"),
+        ("keep-alive", "timeout=5"),
+        ("transfer-encoding", "chunked"),
+        ("set-cookie", "a"),
+        ("set-cookie", "b"),
+    ] {
+        headers.append(name, HeaderValue::from_static(value));
+    }
+    let kept = toucanledge_head::end_to_end(&headers);
+    assert_eq!(kept.len(), 2);
+    assert_eq!(kept.get_all("set-cookie").iter().count(), 2);
+}
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -22,7 +22,7 @@
 pub use crash::CrashLedger;
 pub use facts::{Fact, FactLog};
 pub use health::{HealthChange, ServerEvidence, ServerHealth};
-pub use peers::{EvidenceNote, PeerId, PeerNote, PeerState, PeerTable};
+pub use peers::{EvidenceNote, NoteScope, PeerId, PeerNote, PeerState, PeerTable};
 pub use reader::{ReaderDuty, reader_duty, reader_rank};
 pub use row::{CallerLimits, PoolRow, RoutePart, RouteRow, ServerId, ServerRow, ServerStage};
 pub use table::SteeringTable;
--- a/crates/steering/src/peers.rs
+++ b/crates/steering/src/peers.rs
@@ -31,6 +31,17 @@
     pub request: Option<Fingerprint>,
 }
 
+/// How the loads and the evidence of a message are to be taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoteScope {
+    /// `loads` names the backend servers at which the sender's requests changed.
+    Changes,
+    /// `loads` names every backend server at which the sender has requests.
+    Full,
+    /// The receiver passes the evidence on inside its failure domain.
+    Relay,
+}
+
 /// A message of one gateway to another.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PeerNote {
@@ -46,10 +57,8 @@
     pub reading: bool,
     /// Whether the sender is stopping.
     pub stopping: bool,
-    /// Whether the receiver is to pass the evidence on inside its failure domain.
-    pub relay: bool,
-    /// Whether `loads` names every backend server at which the sender has requests.
-    pub full: bool,
+    /// How the receiver is to take loads and evidence.
+    pub scope: NoteScope,
     /// Requests of the sender in flight, by backend server.
     pub loads: Vec<(ServerId, u32)>,
     /// New evidence.
@@ -126,7 +135,7 @@
         state.revision = note.revision;
         state.reading = note.reading;
         state.stopping = note.stopping;
-        if note.full {
+        if note.scope == NoteScope::Full {
             let named: collections::HashSet<ServerId> =
                 note.loads.iter().map(|(server, _)| *server).collect();
             state.loads.retain(|server, load| {
--- a/crates/steering/tests/budget.rs
+++ b/crates/steering/tests/budget.rs
@@ -37,7 +37,8 @@
         }
         let inside = |times: &[u64], end: u64| {
             let start = end.saturating_sub(WINDOW_MS);
-            times.iter().filter(|at| **at > start && **at <= end).count() as f64
+            let count = times.iter().filter(|at| **at > start && **at <= end).count();
+            u32::try_from(count).map_or(f64::MAX, f64::from)
         };
         for end in retries.iter().step_by(7) {
             let counted = inside(&requests, *end).max(inside(&requests, end - WINDOW_MS));
--- a/crates/steering/tests/peers.rs
+++ b/crates/steering/tests/peers.rs
@@ -4,7 +4,7 @@
 
 use proptest::prelude::*;
 use toucanledge_core::{Incarnation, Millis};
-use toucanledge_steering::{PeerTable, ServerArena, ServerId};
+use toucanledge_steering::{NoteScope, PeerTable, ServerArena, ServerId};
 
 use crate::support;
 
@@ -82,7 +82,9 @@
         for (sequence, (from, full, boot, loads)) in (1..).zip(notes) {
             let mut note = support::note(sequence);
             note.boot = Incarnation(1 + boot);
-            note.full = full;
+            if full {
+                note.scope = NoteScope::Full;
+            }
             let unique: collections::HashMap<usize, u32> = loads.into_iter().collect();
             note.loads = unique
                 .into_iter()
--- a/crates/steering/tests/support.rs
+++ b/crates/steering/tests/support.rs
@@ -3,7 +3,9 @@
 use std::net;
 
 use toucanledge_core::{Incarnation, Millis, PoolId};
-use toucanledge_steering::{PeerNote, ServerArena, ServerId, ServerKey, ServerRow, ServerStage};
+use toucanledge_steering::{
+    NoteScope, PeerNote, ServerArena, ServerId, ServerKey, ServerRow, ServerStage,
+};
 
 /// Pool of all servers of the tests.
 pub const POOL: &str = "reading";
@@ -45,8 +47,7 @@
         revision: 0,
         reading: false,
         stopping: false,
-        relay: false,
-        full: false,
+        scope: NoteScope::Changes,
         loads: Vec::new(),
         evidence: Vec::new(),
         peers: Vec::new(),
