fix(front): name gateways only to those that ask

Change: a greeting to a silent seed asks for names, nothing else does; a seed counts as silent after 8 s, since far heartbeats come every 6 s.

--- a/crates/front/src/note.rs
+++ b/crates/front/src/note.rs
@@ -15,6 +15,7 @@
 const FLAG_STOPPING: u8 = 2;
 const FLAG_FULL: u8 = 4;
 const FLAG_RELAY: u8 = 8;
+const FLAG_GREETING: u8 = 16;
 
 /// Datagram as it is written; tuples keep field names off the wire.
 #[derive(Serialize, Deserialize)]
@@ -82,6 +83,7 @@
             NoteScope::Changes => 0,
             NoteScope::Full => FLAG_FULL,
             NoteScope::Relay => FLAG_RELAY,
+            NoteScope::Greeting => FLAG_GREETING,
         };
         let peers = note.peers.iter().filter_map(|peer| match peer {
             net::SocketAddr::V4(peer) => Some(*peer),
@@ -125,6 +127,8 @@
             stopping: flags & FLAG_STOPPING != 0,
             scope: if flags & FLAG_RELAY != 0 {
                 NoteScope::Relay
+            } else if flags & FLAG_GREETING != 0 {
+                NoteScope::Greeting
             } else if flags & FLAG_FULL != 0 {
                 NoteScope::Full
             } else {
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -30,6 +30,9 @@
 const ALONE_SEED_MS: u64 = 60;
 /// Time in milliseconds after which a gateway that hears nobody greets as seldom as others.
 const ALONE_MS: u64 = 10_000;
+/// Time in milliseconds without a word after which a seed is greeted again; those of other failure
+/// domains send a heartbeat every 6 s.
+const SEED_QUIET_MS: u64 = 8_000;
 /// Peers named in an answer to a gateway that was unknown.
 const MAX_NAMED: usize = 160;
 /// Greatest datagram in bytes that is read.
@@ -87,10 +90,15 @@
     }
     if unknown {
         log::info!("[peers] heard peer={from} boot={}", told.boot.0);
-        let named = engine.state().peers.names_for(from, told.domain, MAX_NAMED);
+    }
+    let asked = told.scope == NoteScope::Greeting;
+    if unknown || asked {
+        // Sequence 0 is never newer than a heartbeat, so the answer changes no load.
         let mut note = base_note(engine, 0);
-        note.peers = named;
-        // Sequence 0 is never newer than a heartbeat, so the greeting changes no load.
+        if asked {
+            let peers = &engine.state().peers;
+            note.peers = peers.names_for(from, told.domain, MAX_NAMED);
+        }
         send(socket, &note::encode_note(&note), from).await;
     }
     if !told.peers.is_empty() {
@@ -219,7 +227,8 @@
         .collect()
 }
 
-/// Greets gateways that are not known yet: silent seeds and those that peers spoke of.
+/// Greets gateways that are not known yet: those that peers spoke of, and silent seeds, which are
+/// asked for the names of others.
 async fn greet(
     socket: &tokio::net::UdpSocket,
     engine: &sync::Arc<FrontEngine>,
@@ -227,25 +236,25 @@
 ) {
     let now = engine.clock.now();
     let own = engine.settings.peer_listen();
-    let targets: collections::BTreeSet<PeerId> = {
+    let (rumours, seeds): (Vec<PeerId>, Vec<PeerId>) = {
         let mut state = engine.state();
         let rumours = state.peers.take_rumours();
-        let live: collections::BTreeSet<PeerId> =
-            state.peers.live(now).map(|(peer, _)| peer).collect();
-        let seeds = engine.settings.seed_peers();
-        seeds
-            .chain(rumours)
-            .filter(|peer| *peer != own && !live.contains(peer))
-            .collect()
+        let silent =
+            |peer: &PeerId| *peer != own && !state.peers.heard_within(*peer, SEED_QUIET_MS, now);
+        let seeds = engine.settings.seed_peers().filter(silent).collect();
+        (rumours, seeds)
     };
-    if targets.is_empty() {
-        return;
-    }
-    let note = base_note(engine, *sequence);
-    *sequence += 1;
-    let datagram = note::encode_note(&note);
-    for peer in targets {
-        send(socket, &datagram, peer).await;
+    for (scope, targets) in [(NoteScope::Changes, rumours), (NoteScope::Greeting, seeds)] {
+        if targets.is_empty() {
+            continue;
+        }
+        let mut note = base_note(engine, *sequence);
+        *sequence += 1;
+        note.scope = scope;
+        let datagram = note::encode_note(&note);
+        for peer in targets.into_iter().filter(|peer| *peer != own) {
+            send(socket, &datagram, peer).await;
+        }
     }
 }
 
--- a/crates/front/tests/notes.rs
+++ b/crates/front/tests/notes.rs
@@ -28,7 +28,12 @@
 
 fn note() -> impl Strategy<Value = PeerNote> {
     let head = (any::<u64>(), any::<u64>(), any::<u64>(), any::<u64>());
-    let scope = prop::sample::select(vec![NoteScope::Changes, NoteScope::Full, NoteScope::Relay]);
+    let scope = prop::sample::select(vec![
+        NoteScope::Changes,
+        NoteScope::Full,
+        NoteScope::Relay,
+        NoteScope::Greeting,
+    ]);
     let flags = (any::<bool>(), any::<bool>(), scope);
     let loads = proptest::collection::vec((any::<u64>(), any::<u32>()), 0..20);
     let evidence = proptest::collection::vec(evidence(), 0..10);
--- a/crates/steering/src/peers.rs
+++ b/crates/steering/src/peers.rs
@@ -40,6 +40,8 @@
     Full,
     /// The receiver passes the evidence on inside its failure domain.
     Relay,
+    /// The sender asks for the names of other gateways.
+    Greeting,
 }
 
 /// A message of one gateway to another.
@@ -189,6 +191,14 @@
             .map(|(peer, state)| (*peer, state))
     }
 
+    /// Returns whether a peer was heard within some milliseconds.
+    #[must_use]
+    pub fn heard_within(&self, peer: PeerId, millis: u64, now: Millis) -> bool {
+        self.peers
+            .get(&peer)
+            .is_some_and(|state| now.since(state.heard) <= millis)
+    }
+
     /// Returns every peer that is remembered, heard of late or not.
     pub fn known(&self) -> impl Iterator<Item = (PeerId, &PeerState)> {
         self.peers.iter().map(|(peer, state)| (*peer, state))
