fix(steering): let the measured time of an idle server lose its weight

Ruled out: packing work on recent successes when the budget has nothing to spare (trial before, no change); loads that drift (told whole every 400 ms).

Change: the measured time loses its weight within 1.5 s without a success. The test of slow servers now gives each a recent success, since times come with successes; its bound is unchanged.

--- a/crates/steering/src/choice.rs
+++ b/crates/steering/src/choice.rs
@@ -22,6 +22,9 @@
 /// Bounds of the time of a server's answers as a multiple of its pool's usual time.
 const MIN_SLOWNESS: f64 = 0.8;
 const MAX_SLOWNESS: f64 = 8.0;
+/// Age in seconds of a server's last success from which the time of its answers says nothing; a third
+/// of the shortest disturbances.
+const MAX_TIME_AGE_S: f64 = 1.5;
 /// Seconds since a server's last success that weigh as much as a full load of all slots. Episodes of
 /// failing begin at a server about every 30 s, so the risk grows with the age of its last success.
 const PROOF_AGE_S: f64 = 4.0;
@@ -178,13 +181,9 @@
     rng: &mut impl Rng,
 ) -> f64 {
     let slots = f64::from(entry.row.slots.max(1));
-    let slowness = match (entry.mean_ms, usual) {
-        (Some(mean), Some(usual)) if usual > 0.0 => {
-            (mean / usual).clamp(MIN_SLOWNESS, MAX_SLOWNESS)
-        }
-        _ => 1.0,
-    };
-    let load = f64::from(entry.load() + 1) / slots * slowness;
+    let age = u32::try_from(now.since(entry.health.last_success())).unwrap_or(u32::MAX);
+    let age = f64::from(age) / 1000.0;
+    let load = f64::from(entry.load() + 1) / slots * slowness(entry, usual, age);
     let mut score = (load - FREE_SHARE).max(0.0) * LOAD_WEIGHT + rng.random::<f64>() * JITTER;
     let far = *entry.row.domain != *plan.domain;
     if far {
@@ -196,8 +195,7 @@
     if entry.health.refusing(now) {
         score += REFUSING_PENALTY;
     }
-    let age = u32::try_from(now.since(entry.health.last_success())).unwrap_or(u32::MAX);
-    let age = (f64::from(age) / 1000.0).min(MAX_PROOF_AGE_S);
+    let age = age.min(MAX_PROOF_AGE_S);
     let may_lose = plan.repeat == RepeatRule::Repeatable && plan.retry_left;
     if may_lose && far {
         // Gateways of that domain explore it, and tell nobody here of their successes.
@@ -208,3 +206,18 @@
         score + age / PROOF_AGE_S
     }
 }
+
+/// Returns the time of a server's answers as a multiple of its pool's usual time.
+///
+/// What was measured loses its weight while the server answers nothing. Otherwise a server that was
+/// slow once would get no work, and its time would never be measured again.
+fn slowness(entry: &ServerEntry, usual: Option<f64>, age_s: f64) -> f64 {
+    match (entry.mean_ms, usual) {
+        (Some(mean), Some(usual)) if usual > 0.0 => {
+            let measured = (mean / usual).clamp(MIN_SLOWNESS, MAX_SLOWNESS);
+            let weight = (1.0 - age_s / MAX_TIME_AGE_S).max(0.0);
+            1.0 + (measured - 1.0) * weight
+        }
+        _ => 1.0,
+    }
+}
--- a/crates/steering/tests/choice.rs
+++ b/crates/steering/tests/choice.rs
@@ -194,6 +194,10 @@
             arena.note_time(support::id(index), if index == 0 { 1_200 } else { 200 });
         }
     }
+    // Times come with successes; without a recent one they say nothing.
+    for index in 0..3 {
+        arena.note(support::id(index), ServerEvidence::Success, Millis(99_900));
+    }
     for key in &keys {
         if let Some(entry) = arena.get_mut(*key) {
             entry.peers = 2;
@@ -221,3 +225,25 @@
         "the other answered meanwhile"
     );
 }
+
+/// A server that was slow once gets no work while others look faster, so its time is never measured
+/// again. Half of a large pool once stayed idle for 10 s after a crest while the rest had queues.
+#[test]
+fn a_server_that_was_slow_is_used_again() {
+    let (mut arena, keys) = support::arena(3);
+    for index in 0..3 {
+        for _ in 0..50 {
+            arena.note_time(support::id(index), if index == 0 { 2_000 } else { 200 });
+        }
+        arena.note(support::id(index), ServerEvidence::Success, Millis(90_000));
+    }
+    for key in &keys[1..] {
+        if let Some(entry) = arena.get_mut(*key) {
+            entry.peers = 4;
+        }
+    }
+    let early = choices(&arena, &plan(RepeatRule::Keyed, true), Millis(90_100));
+    assert!(early.iter().all(|(key, _)| *key != keys[0]));
+    let later = choices(&arena, &plan(RepeatRule::Keyed, true), NOW);
+    assert!(later.iter().all(|(key, _)| *key == keys[0]));
+}
