fix(steering): try suspects with repeatable work when no retry budget is left

Without spare budget nobody tried suspects; a server with a single error, 1.2 in 100 requests, stayed out for 7 to 10 s, so half of the pool was out at 20 s.

Change: repeatable work without a retry left tries a suspect once its absence is over (3 s, 6 s after several failures).

--- a/crates/steering/src/choice.rs
+++ b/crates/steering/src/choice.rs
@@ -135,21 +135,22 @@
 
 /// Returns a suspect that this request should try.
 ///
-/// Repeatable work with a try left is first; work that must not repeat only goes where the absence
-/// is over, since pools without repeatable work have nothing else to find out with.
+/// Repeatable work with a try left is first. Without one it goes where the absence is over, and so
+/// does work that must not repeat in a pool that has no other work to find out with.
 fn due_trial(
     plan: &ChoicePlan<'_>,
     left: &[(ServerKey, &ServerEntry)],
     now: Millis,
     rng: &mut impl Rng,
 ) -> Option<ServerKey> {
-    let may_lose = plan.repeat == RepeatRule::Repeatable && plan.retry_left;
+    let repeatable = plan.repeat == RepeatRule::Repeatable;
+    let may_lose = repeatable && plan.retry_left;
     let due = left.iter().filter(|(_, entry)| {
         let health = &entry.health;
         let time = if may_lose {
             health.trial_due(now)
         } else {
-            !plan.explored && health.absence_over(now)
+            (repeatable || !plan.explored) && health.absence_over(now)
         };
         let near =
             *entry.row.domain == *plan.domain || now.since(health.last_failure()) >= FAR_TRIAL_MS;
@@ -161,7 +162,7 @@
             && entry.load() < entry.row.slots
     });
     let (key, _) = due.min_by_key(|(_, entry)| entry.health.last_failure())?;
-    let share = if may_lose {
+    let share = if repeatable {
         TRIAL_SHARE
     } else {
         LATE_TRIAL_SHARE
