fix(front): do not suspect a server of a request's own long work

Cause: a request without an answer in time was evidence of silence even where the server answered others since it was sent: twice a second on fleets of 36, each costing the server up to 6 s.

Change: silence counts only where nobody was answered since the request was sent, as for stalls; such requests are counted.

--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -166,6 +166,11 @@
         request: Option<Fingerprint>,
         now: Millis,
     ) -> bool {
+        let sent = Millis(now.0.saturating_sub(took_ms));
+        if evidence == ServerEvidence::Silent && self.servers.answered_since(server, sent) {
+            metrics::counter!("toucanledge_long_work_total").increment(1);
+            return false;
+        }
         let change = self.servers.note(server, evidence, now);
         if evidence == ServerEvidence::Success {
             self.servers.note_time(server, took_ms);
--- a/crates/front/tests/main.rs
+++ b/crates/front/tests/main.rs
@@ -2,3 +2,4 @@
 
 mod notes;
 mod settings;
+mod state;
--- /dev/null
+++ b/crates/front/tests/state.rs
@@ -0,0 +1,45 @@
+//! Guards against servers that are suspected of what a request's own work did.
+
+use toucanledge_core::{Millis, PoolId};
+use toucanledge_front::FleetState;
+use toucanledge_steering::{ServerEvidence, ServerId, ServerRow, ServerStage};
+
+fn state() -> (FleetState, ServerId) {
+    let mut state = FleetState::default();
+    let row = ServerRow {
+        name: "s0".into(),
+        pool: PoolId::of("reading"),
+        address: ([127, 0, 0, 1], 8000).into(),
+        domain: "a".into(),
+        slots: 4,
+        stage: ServerStage::Ready,
+        cold_ms: 0,
+        born: None,
+    };
+    state.servers.put(row, Millis(1));
+    (state, ServerId::of("s0"))
+}
+
+fn suspect(state: &FleetState, server: ServerId) -> bool {
+    let key = state.servers.find(server);
+    key.and_then(|key| state.servers.get(key))
+        .is_some_and(|entry| entry.health.suspect())
+}
+
+/// Work that is longer than its time made a suspect of a server that answered everyone else, twice
+/// a second on a fleet of 36.
+#[test]
+fn long_work_at_a_server_that_answers_others_is_no_evidence() {
+    let (mut state, server) = state();
+    state.witness(server, ServerEvidence::Success, 100, None, Millis(1_500));
+    assert!(!state.witness(server, ServerEvidence::Silent, 1_100, None, Millis(2_000)));
+    assert!(!suspect(&state, server));
+}
+
+#[test]
+fn a_server_that_answers_nobody_is_a_suspect() {
+    let (mut state, server) = state();
+    state.witness(server, ServerEvidence::Success, 100, None, Millis(500));
+    assert!(state.witness(server, ServerEvidence::Silent, 1_100, None, Millis(2_000)));
+    assert!(suspect(&state, server));
+}
--- a/crates/steering/src/arena.rs
+++ b/crates/steering/src/arena.rs
@@ -158,6 +158,17 @@
         }
     }
 
+    /// Returns whether a backend server answered somebody since a request was sent there.
+    ///
+    /// Such a server is not silent: the request's own work took longer than it may.
+    #[must_use]
+    pub fn answered_since(&self, id: ServerId, sent: Millis) -> bool {
+        self.ids
+            .get(&id)
+            .and_then(|key| self.entries.get(*key))
+            .is_some_and(|entry| entry.health.last_success() >= sent)
+    }
+
     /// Takes the time of an answer.
     pub fn note_time(&mut self, id: ServerId, took_ms: u64) {
         let Some(entry) = self.ids.get(&id).and_then(|key| self.entries.get_mut(*key)) else {
