fix(steering): keep all trusted servers in use when nothing explores

Change: repeatable work without spare budget goes to all trusted servers of the domain alike; a last try still goes where it is safest. The test failed first.

--- a/crates/steering/src/choice.rs
+++ b/crates/steering/src/choice.rs
@@ -197,8 +197,12 @@
         score += REFUSING_PENALTY;
     }
     let age = age.min(MAX_PROOF_AGE_S);
-    let may_lose = plan.repeat == RepeatRule::Repeatable && plan.retry_left;
-    if may_lose && far {
+    let repeatable = plan.repeat == RepeatRule::Repeatable;
+    let may_lose = repeatable && plan.retry_left;
+    if repeatable && !may_lose && plan.tried.is_empty() && !far {
+        // Nothing explores now, so this keeps every trusted server in use.
+        score
+    } else if may_lose && far {
         // Gateways of that domain explore it, and tell nobody here of their successes.
         score + MAX_PROOF_AGE_S / PROOF_AGE_S
     } else if may_lose {
--- a/crates/steering/tests/choice.rs
+++ b/crates/steering/tests/choice.rs
@@ -263,3 +263,26 @@
     let other = choices(&arena, &plan(RepeatRule::Keyed, true), NOW);
     assert!(other.iter().all(|(key, _)| *key != keys[0]));
 }
+
+/// Without spare budget all work went to the most recent successes, and less than the floor's share
+/// of a large pool was in use.
+#[test]
+fn repeatable_work_without_budget_uses_every_trusted_server() {
+    let (mut arena, keys) = support::arena(20);
+    for index in 0..4 {
+        arena.note(support::id(index), ServerEvidence::Success, Millis(99_900));
+    }
+    let used = |plan: &ChoicePlan<'_>| {
+        let chosen = choices(&arena, plan, NOW);
+        keys.iter()
+            .filter(|key| chosen.iter().any(|(other, _)| other == *key))
+            .count()
+    };
+    assert_eq!(used(&plan(RepeatRule::Repeatable, false)), 20);
+    assert_eq!(used(&plan(RepeatRule::Keyed, true)), 4);
+    let again = ChoicePlan {
+        tried: &keys[10..11],
+        ..plan(RepeatRule::Repeatable, false)
+    };
+    assert_eq!(used(&again), 4, "a last try goes where it is safest");
+}
