feat(front): let a read leave a mute server in time

Cause: a read sent to a server that turned mute, or to a slow suspect as a trial, waited there until its time was over, though a try and the budget were left.

Change: work that may repeat leaves a suspect that answered nobody since, once the request is four times as old as usual (700 ms at least), if another try and spare budget are left. The whole-path test failed first.

--- a/crates/front/src/engine.rs
+++ b/crates/front/src/engine.rs
@@ -31,6 +31,8 @@
 const CONNECT_MS: u64 = 80;
 /// Backend servers to which a connection is tried for one request.
 const MAX_CONNECTS: usize = 6;
+/// Time between two looks at whether a request that may repeat should leave a silent suspect.
+const PATIENCE_LOOK: time::Duration = time::Duration::from_millis(100);
 /// Pause in milliseconds before servers that refused are tried again.
 const AGAIN_MS: u64 = 40;
 /// Time in milliseconds for which a request waits for the first facts of a gateway that just
@@ -243,7 +245,7 @@
             };
             tried.push(target.key);
             trace.servers.push(target.name.to_string());
-            match self.attempt(routed, target, trace).await {
+            match self.attempt(routed, target, sends, trace).await {
                 TryStep::Done(answer) => return answer,
                 TryStep::Connect(reason) => {
                     if sends > 0 {
@@ -323,6 +325,7 @@
         self: &sync::Arc<Self>,
         routed: &RoutedRequest,
         target: AttemptTarget,
+        sends: u32,
         trace: &mut RequestTrace,
     ) -> TryStep {
         let flight = FlightGuard::enter(self, &target);
@@ -342,13 +345,47 @@
             return TryStep::Connect(RefusalReason::TooLate);
         };
         let deadline = time::Instant::now() + time::Duration::from_millis(left);
-        let end = exchange::exchange(stream, outgoing, &self.dialect, deadline).await;
+        let sending = exchange::exchange(stream, outgoing, &self.dialect, deadline);
+        tokio::pin!(sending);
+        let end = loop {
+            tokio::select! {
+                end = &mut sending => break end,
+                () = tokio::time::sleep(PATIENCE_LOOK) => {}
+            }
+            if self.is_better_elsewhere(routed, &target, sends, now) {
+                break ExchangeEnd::Silent;
+            }
+        };
         let took = self.clock.now().since(now);
         drop(flight);
         trace.ends.push(outcome::end_name(&end));
         self.judge(routed, &target, end, took)
     }
 
+    /// Returns whether a request that may repeat should leave a suspect that is silent for far longer
+    /// than usual; another try must be left, in the rows and in the budget.
+    fn is_better_elsewhere(
+        &self,
+        routed: &RoutedRequest,
+        target: &AttemptTarget,
+        sends: u32,
+        sent: Millis,
+    ) -> bool {
+        let repeatable = routed.route.repeat == RepeatRule::Repeatable;
+        if !repeatable || sends + 1 >= routed.route.max_tries {
+            return false;
+        }
+        let now = self.clock.now();
+        let mut state = self.state();
+        let limit = state.servers.stall_ms(routed.pool);
+        let suspect = state
+            .servers
+            .get(target.key)
+            .is_none_or(|entry| entry.health.suspect());
+        let silent = now.since(sent) >= limit && !state.servers.answered_since(target.id, sent);
+        suspect && silent && state.budget(routed.pool).spare(now)
+    }
+
     fn note_connect(&self, target: &AttemptTarget, failure: ConnectFailure) {
         let now = self.clock.now();
         let mut state = self.state();
--- a/crates/steering/src/arena.rs
+++ b/crates/steering/src/arena.rs
@@ -17,7 +17,7 @@
 /// Multiple of the usual time of an answer after which a request counts as stalled.
 const STALL_TIMES: f64 = 4.0;
 /// Least age in milliseconds of a stalled request.
-const STALL_MIN_MS: f64 = 700.0;
+const STALL_MIN_MS: u64 = 700;
 
 slotmap::new_key_type! {
     /// Key of a backend server; a removed server's key is never valid again.
@@ -193,14 +193,27 @@
         means.get(means.len() / 2).copied()
     }
 
+    /// Returns the age in milliseconds from which a request of a pool counts as stalled.
+    #[must_use]
+    pub fn stall_ms(&self, pool: PoolId) -> u64 {
+        let usual = self.usual_ms(pool).unwrap_or_default() * STALL_TIMES;
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a mean of milliseconds, and the cast saturates"
+        )]
+        let usual = usual as u64;
+        usual.max(STALL_MIN_MS)
+    }
+
     /// Returns the backend servers that hold a request of this gateway for far too long while they
     /// answered nobody since it began.
     #[must_use]
     pub fn stalled(&self, now: Millis) -> Vec<sync::Arc<str>> {
-        let usual: collections::HashMap<PoolId, f64> = self
+        let limits: collections::HashMap<PoolId, u64> = self
             .pools
             .keys()
-            .filter_map(|pool| Some((*pool, self.usual_ms(*pool)?)))
+            .map(|pool| (*pool, self.stall_ms(*pool)))
             .collect();
         self.entries
             .values()
@@ -208,12 +221,10 @@
                 let Some(oldest) = entry.starts.iter().min() else {
                     return false;
                 };
-                let usual = usual.get(&entry.row.pool).copied().unwrap_or_default();
-                let limit = (usual * STALL_TIMES).max(STALL_MIN_MS);
-                let age = u32::try_from(now.since(*oldest)).map_or(f64::MAX, f64::from);
+                let limit = limits.get(&entry.row.pool).copied().unwrap_or(u64::MAX);
                 let quiet =
                     entry.health.last_success() < *oldest && entry.health.last_failure() < *oldest;
-                age > limit && quiet
+                now.since(*oldest) > limit && quiet
             })
             .map(|entry| sync::Arc::clone(&entry.row.name))
             .collect()
