fix(front): recognise a pool without repeatable requests within a few requests

Cause: a pool's share of repeatable requests started at 0.25 and moved by 0.03 a request, so it took 25 requests to fall below the 0.12 from which non-repeatable requests keep suspected and idle servers in use.

Ruled out: a start at 0, which makes the first non-repeatable request of a mixed pool a probe.

Change: the assumption weighs four requests, the share is the plain mean until a request weighs less than 0.03. Test: six requests, fails before.

--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -24,8 +24,11 @@
 /// pools with repeatable requests have a share of at least 0.26; a few requests that only read the
 /// configuration are not enough.
 const MIN_REPEATABLE_SHARE: f64 = 0.12;
-/// Share assumed before the first request.
+/// Share assumed before the first request, and the number of requests that this assumption weighs.
+/// A gateway of a large fleet gets a few requests a second for a pool, so an assumption that
+/// weighs more is wrong for seconds in a pool without repeatable requests.
 const INITIAL_REPEATABLE_SHARE: f64 = 0.25;
+const INITIAL_REPEATABLE_REQUESTS: u32 = 4;
 /// Part of a pool's median latency from which a server error counts as caused by the request
 /// itself. Servers that fail most requests return errors within a few milliseconds.
 const LATE_ERROR_SHARE: f64 = 0.25;
@@ -62,12 +65,37 @@
     reports: Vec<OutcomeReport>,
     /// Queued reports for the peers of the failure domain, also with the time in `age_ms`.
     local_reports: Vec<OutcomeReport>,
-    repeatable_shares: collections::HashMap<PoolId, f64>,
+    repeatable_shares: collections::HashMap<PoolId, RepeatableShare>,
     changed_servers: collections::HashSet<ServerId>,
     last_store_contact: Option<Millis>,
     delisting_grace_until: Millis,
 }
 
+/// Share of repeatable requests of a pool: the mean of all requests at first, later a moving
+/// average.
+#[derive(Clone, Copy, Debug)]
+struct RepeatableShare {
+    share: f64,
+    requests: u32,
+}
+
+impl Default for RepeatableShare {
+    fn default() -> Self {
+        Self {
+            share: INITIAL_REPEATABLE_SHARE,
+            requests: INITIAL_REPEATABLE_REQUESTS,
+        }
+    }
+}
+
+impl RepeatableShare {
+    fn record(&mut self, repeatable: bool) {
+        self.requests = self.requests.saturating_add(1);
+        let weight = REPEATABLE_WEIGHT.max(1.0 / f64::from(self.requests));
+        self.share += (f64::from(u8::from(repeatable)) - self.share) * weight;
+    }
+}
+
 impl FleetState {
     /// Returns the retry budget of a pool.
     pub fn budget(&mut self, pool: PoolId) -> &mut RetryBudget {
@@ -301,11 +329,10 @@
 
     /// Updates a pool's share of repeatable requests with a new request.
     pub fn record_request(&mut self, pool: PoolId, repeatable: bool) {
-        let share = self
-            .repeatable_shares
+        self.repeatable_shares
             .entry(pool)
-            .or_insert(INITIAL_REPEATABLE_SHARE);
-        *share += (f64::from(u8::from(repeatable)) - *share) * REPEATABLE_WEIGHT;
+            .or_default()
+            .record(repeatable);
     }
 
     /// Returns whether a pool gets enough repeatable requests to probe its suspected servers.
@@ -313,7 +340,7 @@
     pub fn probed_by_repeatable(&self, pool: PoolId) -> bool {
         self.repeatable_shares
             .get(&pool)
-            .is_some_and(|share| *share >= MIN_REPEATABLE_SHARE)
+            .is_some_and(|known| known.share >= MIN_REPEATABLE_SHARE)
     }
 
     /// Returns and clears the queued outcome reports, with their age: those for all peers, and
--- a/crates/front/tests/state.rs
+++ b/crates/front/tests/state.rs
@@ -82,3 +82,27 @@
     }
     assert!(state.probed_by_repeatable(pool));
 }
+
+/// A gateway that gets three requests a second for a pool without repeatable ones took 8 s to see
+/// it, and left the pool's suspected servers without probes for so long that the floor was missed.
+#[test]
+fn a_pool_without_repeatable_requests_is_recognised_within_a_few_requests() {
+    let mut state = FleetState::default();
+    let pool = PoolId::of("payments");
+    for _ in 0..6 {
+        state.record_request(pool, false);
+    }
+    assert!(!state.probed_by_repeatable(pool));
+}
+
+/// A mixed pool must not lose non-repeatable requests to probes because its first ones came before
+/// the first repeatable one.
+#[test]
+fn a_mixed_pool_is_recognised_by_one_repeatable_request_in_nine() {
+    let mut state = FleetState::default();
+    let pool = PoolId::of("records");
+    for index in 0..9 {
+        state.record_request(pool, index == 4);
+    }
+    assert!(state.probed_by_repeatable(pool));
+}
