feat(front): keep connections to backend servers, and use idle servers at once

Kept connections. A connection is kept only when its response was read whole, names its request, and nothing followed; bytes that come while it is idle close it, and the server gets no kept connection for 20 s. A reused connection needs the echo of the request's id. Repeatable requests use one that rested up to 8 s and less than the stated idle timeout; non-repeatable ones only one that was answered within a second. A connection that is lost right after it rested is no evidence against the server, and halves the rest of its pool for 20 s. A retry opens a new one. A request that was not written, as the library gives it back, goes to another server: it did not run.

Idle servers. Servers counted as idle only 1.2 s after the start of a gateway, and only when more than 15 in 100 of all servers were idle, sound or not. Change: an unused server is idle from the start, and a repeatable request goes to an idle one however few there are; equal ones are drawn at random. Tests fail before.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -24,6 +24,8 @@
     pub address: net::SocketAddr,
     /// Whether the attempt probes a suspected server.
     pub is_probe: bool,
+    /// Longest rest in milliseconds of a connection that the attempt may use; 0 for a new one.
+    pub max_rest_ms: u64,
 }
 
 /// Counts an attempt as in flight until it is dropped.
@@ -57,7 +59,7 @@
             entry.local_in_flight = entry.local_in_flight.saturating_add_signed(change);
             if change > 0 {
                 entry.in_flight_since.push(self.start);
-                entry.last_used = self.start;
+                entry.last_used = Some(self.start);
             } else if let Some(index) = entry
                 .in_flight_since
                 .iter()
--- a/crates/front/src/caller.rs
+++ b/crates/front/src/caller.rs
@@ -1,6 +1,8 @@
 //! Accepts the connections of callers and serves them.
 
+use std::future;
 use std::net;
+use std::pin;
 use std::sync;
 use std::time;
 
@@ -9,6 +11,7 @@
 use hyper::server::conn::http1;
 use hyper::service;
 use hyper_util::rt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::watch;
 
 use crate::error::{FrontError, FrontOperation};
@@ -26,6 +29,12 @@
 /// been sent by then.
 const UNUSED_TIMEOUT: time::Duration = time::Duration::from_millis(800);
 const UNUSED_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(50);
+/// Time for which a connection that this gateway closes is still read. Closing it with unread bytes,
+/// for example of requests that the caller sent behind the last one, would reset it, and the caller
+/// could lose the response that is still on its way.
+const LINGER_TIME: time::Duration = time::Duration::from_millis(500);
+/// Size of the buffer for bytes that are read after the close and discarded.
+const LINGER_BUFFER_BYTES: usize = 2048;
 /// Pause after a failed accept; the usual cause is that file descriptors ran out.
 const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(20);
 
@@ -134,7 +143,7 @@
         let proxy = sync::Arc::clone(&proxy);
         let current_phase = current_phase.clone();
         let request_guard = sync::Arc::clone(&requests);
-        async move {
+        Box::pin(async move {
             let mut response = proxy.serve(request).await;
             drop(request_guard);
             if *current_phase.borrow() != StopPhase::Serving {
@@ -142,24 +151,24 @@
                 response.headers_mut().insert(header::CONNECTION, close);
             }
             Ok::<_, std::convert::Infallible>(response)
-        }
+        })
     });
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .timer(rt::TokioTimer::new())
         .header_read_timeout(idle_timeout + IDLE_MARGIN)
         .max_buf_size(max_header_bytes.max(MIN_HEADER_BYTES))
         .serve_connection(rt::TokioIo::new(stream), handler);
-    tokio::pin!(connection);
     let result = tokio::select! {
-        result = connection.as_mut() => result,
+        result = future::poll_fn(|cx| connection.poll_without_shutdown(cx)) => result,
         () = wait_for_closing(phase) => {
-            connection.as_mut().graceful_shutdown();
+            pin::Pin::new(&mut connection).graceful_shutdown();
             tokio::select! {
-                result = connection.as_mut() => result,
+                result = future::poll_fn(|cx| connection.poll_without_shutdown(cx)) => result,
                 () = wait_until_unused(&request_count) => return,
             }
         }
     };
+    close_lingering(connection.into_parts().io.into_inner()).await;
     if let Err(error) = result {
         let kind = if error.is_parse() {
             "malformed"
@@ -172,3 +181,17 @@
             .increment(1);
     }
 }
+
+/// Closes a caller's connection without resetting it.
+async fn close_lingering(mut stream: tokio::net::TcpStream) {
+    if stream.shutdown().await.is_err() {
+        // The caller has already closed the connection.
+        return;
+    }
+    let read_to_end = async {
+        let mut buffer = [0; LINGER_BUFFER_BYTES];
+        while stream.read(&mut buffer).await.is_ok_and(|length| length > 0) {}
+    };
+    // A time-out means that the caller keeps the connection open; it is closed all the same.
+    let _ = tokio::time::timeout(LINGER_TIME, read_to_end).await;
+}
--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -1,16 +1,15 @@
-//! One HTTP exchange with a backend server on a connection of its own.
+//! One HTTP exchange with a backend server.
 
-use std::future::Future;
 use std::net;
 use std::time;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::StatusCode;
-use hyper::client::conn::http1;
 use hyper::header;
-use hyper_util::rt;
 
+use crate::buffer::{BufferBudget, BufferedBody};
+use crate::connection::ServerConnection;
 use crate::header_names::HeaderNames;
 use crate::request::CallerRequest;
 
@@ -25,7 +24,7 @@
     /// Headers to forward to the caller.
     pub headers: hyper::HeaderMap,
     /// Whole body.
-    pub body: Bytes,
+    pub body: BufferedBody,
 }
 
 /// How an exchange ended.
@@ -56,6 +55,16 @@
     Silent,
 }
 
+/// What became of a request that was handed to a connection.
+#[derive(Debug)]
+pub enum ExchangeResult {
+    /// The connection was lost before any byte of the request was written.
+    Unsent,
+    /// The exchange ended. The connection is given back if it can carry another request, with the
+    /// idle timeout in milliseconds that the backend server states.
+    Ended(ExchangeOutcome, Option<(ServerConnection, Option<u64>)>),
+}
+
 /// Opens a connection.
 ///
 /// # Errors
@@ -77,67 +86,123 @@
     }
 }
 
-/// Sends a request on a new connection and reads the whole response.
+/// Sends a request and reads the whole response; `reused` tells whether the connection carried
+/// another request before.
 ///
 /// Dropping the future closes the connection, which tells the backend server that the caller has
 /// left.
 pub async fn send_request(
-    stream: tokio::net::TcpStream,
+    connection: ServerConnection,
     outgoing: hyper::Request<Full<Bytes>>,
     header_names: &HeaderNames,
+    buffers: &BufferBudget,
     deadline: time::Instant,
-) -> ExchangeOutcome {
+    reused: bool,
+) -> ExchangeResult {
+    let exchange = exchange(connection, outgoing, header_names, buffers, reused);
+    match tokio::time::timeout_at(deadline.into(), exchange).await {
+        Ok(result) => result,
+        Err(_) => ExchangeResult::Ended(ExchangeOutcome::Timeout, None),
+    }
+}
+
+async fn exchange(
+    mut connection: ServerConnection,
+    outgoing: hyper::Request<Full<Bytes>>,
+    header_names: &HeaderNames,
+    buffers: &BufferBudget,
+    reused: bool,
+) -> ExchangeResult {
     let request_id = outgoing.headers().get(&header_names.request_id).cloned();
-    let handshake = http1::handshake::<_, Full<Bytes>>(rt::TokioIo::new(stream)).await;
-    let Ok((mut sender, connection)) = handshake else {
-        return ExchangeOutcome::ConnectionLost;
-    };
     let is_head_request = outgoing.method() == hyper::Method::HEAD;
-    let exchange = async move {
-        let Ok(response) = sender.send_request(outgoing).await else {
-            return ExchangeOutcome::ConnectionLost;
-        };
-        let (parts, body) = response.into_parts();
-        if let Some(outcome) = check_response(&parts, request_id.as_ref(), header_names) {
-            return outcome;
-        }
-        match Limited::new(body, MAX_RESPONSE_BYTES).collect().await {
-            Ok(collected) => {
-                let mut headers = toucanledge_head::strip_hop_by_hop(&parts.headers);
-                if !is_head_request {
-                    headers.remove(header::CONTENT_LENGTH);
-                }
-                ExchangeOutcome::Response(ServerResponse {
-                    status: parts.status,
-                    headers,
-                    body: collected.to_bytes(),
-                })
+    let response = match connection.sender.try_send_request(outgoing).await {
+        Ok(response) => response,
+        Err(mut error) => {
+            if error.take_message().is_some() {
+                return ExchangeResult::Unsent;
             }
-            Err(_) => ExchangeOutcome::InvalidResponse,
+            let error = error.into_error();
+            let outcome = if error.is_parse() {
+                ExchangeOutcome::InvalidResponse
+            } else {
+                ExchangeOutcome::ConnectionLost
+            };
+            return ExchangeResult::Ended(outcome, None);
         }
     };
-    match tokio::time::timeout_at(deadline.into(), drive(connection, exchange)).await {
-        Ok(outcome) => outcome,
-        Err(_) => ExchangeOutcome::Timeout,
+    let (parts, body) = response.into_parts();
+    let idle_timeout_ms = stated_idle_timeout_ms(&parts.headers);
+    let outcome = read_response(
+        &parts,
+        body,
+        request_id.as_ref(),
+        header_names,
+        buffers,
+        is_head_request,
+        reused,
+    )
+    .await;
+    let whole = matches!(outcome, ExchangeOutcome::Response(_));
+    if whole && has_own_id(&parts, request_id.as_ref(), header_names) && connection.is_idle().await
+    {
+        return ExchangeResult::Ended(outcome, Some((connection, idle_timeout_ms)));
     }
+    ExchangeResult::Ended(outcome, None)
 }
 
-/// Polls a connection in the same task as its only request.
-async fn drive(
-    connection: impl Future<Output = Result<(), hyper::Error>>,
-    exchange: impl Future<Output = ExchangeOutcome>,
+async fn read_response(
+    parts: &hyper::http::response::Parts,
+    body: hyper::body::Incoming,
+    request_id: Option<&header::HeaderValue>,
+    header_names: &HeaderNames,
+    buffers: &BufferBudget,
+    is_head_request: bool,
+    reused: bool,
 ) -> ExchangeOutcome {
-    tokio::pin!(connection, exchange);
-    let mut connection_open = true;
-    loop {
-        tokio::select! {
-            biased;
-            outcome = &mut exchange => return outcome,
-            _ = &mut connection, if connection_open => connection_open = false,
+    if let Some(outcome) = check_response(parts, request_id, header_names) {
+        return outcome;
+    }
+    if reused && !has_own_id(parts, request_id, header_names) {
+        return ExchangeOutcome::InvalidResponse;
+    }
+    match buffers.read_body(body, MAX_RESPONSE_BYTES).await {
+        Ok(body) => {
+            let mut headers = toucanledge_head::strip_hop_by_hop(&parts.headers);
+            if !is_head_request {
+                headers.remove(header::CONTENT_LENGTH);
+            }
+            ExchangeOutcome::Response(ServerResponse {
+                status: parts.status,
+                headers,
+                body,
+            })
+        }
+        Err(error) => {
+            log::info!("[exchange] response body not read: {error}");
+            ExchangeOutcome::InvalidResponse
         }
     }
 }
 
+/// Returns whether a response names the request that it answers.
+fn has_own_id(
+    parts: &hyper::http::response::Parts,
+    request_id: Option<&header::HeaderValue>,
+    header_names: &HeaderNames,
+) -> bool {
+    let echo = parts.headers.get(&header_names.request_id);
+    echo.is_some() && echo == request_id
+}
+
+/// Returns the idle timeout in milliseconds that a `Keep-Alive` header states.
+fn stated_idle_timeout_ms(headers: &hyper::HeaderMap) -> Option<u64> {
+    let value = headers.get("keep-alive")?.to_str().ok()?;
+    let seconds = value
+        .split(',')
+        .find_map(|parameter| parameter.trim().strip_prefix("timeout="))?;
+    seconds.trim().parse::<u64>().ok()?.checked_mul(1_000)
+}
+
 /// Returns the outcome of the exchange if the header of the response determines it.
 fn check_response(
     parts: &hyper::http::response::Parts,
@@ -181,7 +246,7 @@
     let mut outgoing = hyper::Request::builder()
         .method(request.method.clone())
         .uri(&request.target)
-        .body(Full::new(request.body.clone()))
+        .body(Full::new(request.body.bytes().clone()))
         .ok()?;
     let headers = outgoing.headers_mut();
     *headers = request.headers.clone();
@@ -193,8 +258,8 @@
         &header_names.target_server,
         header::HeaderValue::try_from(server).ok()?,
     );
-    if !request.body.is_empty() || request.headers.contains_key(header::CONTENT_LENGTH) {
-        let length = header::HeaderValue::from(request.body.len());
+    if !request.body.bytes().is_empty() || request.headers.contains_key(header::CONTENT_LENGTH) {
+        let length = header::HeaderValue::from(request.body.bytes().len());
         headers.insert(header::CONTENT_LENGTH, length);
     }
     Some(outgoing)
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -5,8 +5,10 @@
 //! and how the store's records are read and decoded ([`StoreSource`]).
 
 mod attempt;
+mod buffer;
 mod caller;
 mod clock;
+mod connection;
 mod error;
 mod exchange;
 mod header_names;
--- a/crates/front/src/outcome.rs
+++ b/crates/front/src/outcome.rs
@@ -55,7 +55,7 @@
 /// Copies a backend server's response for the caller.
 #[must_use]
 pub fn forward_response(server_response: ServerResponse) -> CallerResponse {
-    let mut response = hyper::Response::new(Full::new(server_response.body));
+    let mut response = hyper::Response::new(Full::new(server_response.body.bytes().clone()));
     *response.status_mut() = server_response.status;
     *response.headers_mut() = server_response.headers;
     response
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -139,7 +139,7 @@
             () = tokio::time::sleep(wait) => {}
         }
         let now = proxy.clock.now();
-        proxy.state().remove_expired(now);
+        proxy.remove_expired(now);
         let heartbeat = now >= next_heartbeat;
         if heartbeat {
             let reads_store = proxy.state().reads_store;
--- a/crates/front/src/proxy.rs
+++ b/crates/front/src/proxy.rs
@@ -7,12 +7,14 @@
 use hyper::header;
 use toucanledge_core::{Millis, PoolId};
 use toucanledge_steering::{
-    CallerLimits, RouteRow, SelectionContext, SelectionError, ServerId, ServerKey,
+    CallerLimits, RouteRow, SelectionContext, SelectionError, ServerEntry, ServerId, ServerKey,
 };
 use toucanledge_table::RepeatRule;
 
 use crate::attempt::{AttemptTarget, RequestTrace};
+use crate::buffer::BufferBudget;
 use crate::clock::BootClock;
+use crate::connection::IdleConnections;
 use crate::exchange::ServerResponse;
 use crate::header_names::HeaderNames;
 use crate::outcome;
@@ -24,8 +26,11 @@
 use crate::state::FleetState;
 use crate::tries::AttemptAction;
 
-/// Limit of request bodies in memory, in KiB; a fifth of a VM's memory.
-const BUFFER_KIB: usize = 48 * 1024;
+/// Limit of request bodies in memory, in KiB. Together with the responses they take at most half of
+/// the memory of the smallest VMs, which have 160 MB.
+const REQUEST_BUFFER_KIB: usize = 48 * 1024;
+/// Limit of response bodies in memory, in KiB.
+const RESPONSE_BUFFER_KIB: usize = 32 * 1024;
 /// Limit of attempts per request in which nothing was sent.
 const MAX_UNSENT_ATTEMPTS: usize = 6;
 /// Pause before a request selects a server again after it could be sent to none of the pool.
@@ -55,8 +60,12 @@
     pub store_sync_due: tokio::sync::Notify,
     /// Wakes requests that wait for the first records.
     pub records_updated: tokio::sync::Notify,
+    /// Idle connections to backend servers.
+    pub connections: IdleConnections,
     state: sync::Mutex<FleetState>,
-    buffer_budget: sync::Arc<tokio::sync::Semaphore>,
+    request_buffers: BufferBudget,
+    /// Memory of the response bodies that are read.
+    pub response_buffers: BufferBudget,
 }
 
 /// A request with its route.
@@ -87,8 +96,10 @@
             discovery_pending: sync::atomic::AtomicBool::new(false),
             store_sync_due: tokio::sync::Notify::new(),
             records_updated: tokio::sync::Notify::new(),
+            connections: IdleConnections::default(),
             state: sync::Mutex::default(),
-            buffer_budget: sync::Arc::new(tokio::sync::Semaphore::new(BUFFER_KIB)),
+            request_buffers: BufferBudget::new(REQUEST_BUFFER_KIB),
+            response_buffers: BufferBudget::new(RESPONSE_BUFFER_KIB),
         }
     }
 
@@ -99,6 +110,18 @@
             .unwrap_or_else(sync::PoisonError::into_inner)
     }
 
+    /// Removes outdated state and closes idle connections that are not used any more.
+    pub fn remove_expired(&self, now: Millis) {
+        let mut state = self.state();
+        state.remove_expired(now);
+        self.connections.remove_expired(now, |server| {
+            state
+                .servers
+                .get(server)
+                .is_some_and(ServerEntry::accepts_work)
+        });
+    }
+
     /// Returns the limits on callers; `None` without a routing table.
     #[must_use]
     pub fn limits(&self) -> Option<CallerLimits> {
@@ -203,7 +226,7 @@
         }
         let max_body_bytes = table.limits().max_body_bytes;
         let request =
-            request::read_request(head, body, max_body_bytes, &self.buffer_budget).await?;
+            request::read_request(head, body, max_body_bytes, &self.request_buffers).await?;
         Ok(RoutedRequest {
             request,
             latency_target_at: arrived + route.latency_target_ms,
@@ -322,6 +345,13 @@
                 .since(now)
                 .min(routed.deadline.since(now)),
             floor_share: self.settings.floor_share,
+            max_rest_ms: if sent_attempts == 0 {
+                let repeat_rule = routed.route.repeat_rule;
+                state.reuse.max_rest_ms(routed.pool, repeat_rule, now)
+            } else {
+                // A retry must not be lost to a connection that rested.
+                0
+            },
         };
         let selected = state.servers.select(&context, now, &mut rand::rng());
         let (key, is_probe) = match selected {
@@ -339,6 +369,7 @@
             name: sync::Arc::clone(&entry.row.name),
             address: entry.row.address,
             is_probe,
+            max_rest_ms: context.max_rest_ms,
         };
         drop(state);
         Ok(target)
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -6,7 +6,7 @@
 use toucanledge_core::{Fingerprint, Millis, PoolId};
 use toucanledge_steering::{
     AttemptOutcome, CrashTracker, GossipKind, GossipMessage, HealthChange, OutcomeReport, PeerId,
-    PeerTable, RetryBudget, RoutingTable, ServerId, ServerRegistry, ServerState, StoreCache,
+    PeerTable, RetryBudget, ReusePolicy, RoutingTable, ServerId, ServerRegistry, ServerState, StoreCache,
     StoreRecord,
 };
 
@@ -53,6 +53,8 @@
     pub store_cache: StoreCache,
     /// Requests that may crash backend servers.
     pub crash_tracker: CrashTracker,
+    /// What is known of connections that were lost or spoiled while they were idle.
+    pub reuse: ReusePolicy,
     /// Whether this gateway reads the store itself and its reads succeed.
     pub reads_store: bool,
     /// Whether the process is draining before it stops.
--- a/crates/steering/src/floor.rs
+++ b/crates/steering/src/floor.rs
@@ -17,8 +17,8 @@
 const IDLE_MS: u64 = 1_200;
 /// Time after its last failure from which the floor may count a server as healthy again.
 const HEALTHY_AFTER_MS: u64 = 2_000;
-/// Part of the share above the floor that may be idle. It is below 1 because peers may see other
-/// servers as idle.
+/// Part of the share above the floor that may be idle before non-repeatable requests are sent to idle
+/// servers. It is below 1 because peers may see other servers as idle.
 const IDLE_MARGIN: f64 = 0.5;
 /// Share of requests that check for idle servers in other failure domains while the failure rate is
 /// high. How much the gateways there use them is not known here.
@@ -27,8 +27,10 @@
 /// Returns an idle server that must get this request to hold the floor, and whether the request is
 /// a probe of a suspected server.
 ///
-/// A non-repeatable request goes to an idle server only in a pool that has a high failure rate or
-/// too few repeatable requests. A suspected server is probed only at a high failure rate, and by a
+/// A repeatable request goes to any idle server: which of the servers count as healthy is not known
+/// here, and the idle ones may all be among them. A non-repeatable request goes to an idle server
+/// only in a pool that has a high failure rate or
+/// too few repeatable requests, and only if too many are idle. A suspected server is probed only at a high failure rate, and by a
 /// non-repeatable request only where there are too few repeatable ones.
 pub(crate) fn select_idle_server(
     context: &SelectionContext<'_>,
@@ -48,7 +50,11 @@
             .filter(|(_, entry)| (*entry.row.failure_domain == *context.failure_domain) == local)
     };
     let idle = || considered().filter(|(_, entry)| is_idle(entry, now));
-    let allowed_idle_share = (1.0 - context.floor_share) * IDLE_MARGIN;
+    let allowed_idle_share = if repeatable {
+        0.0
+    } else {
+        (1.0 - context.floor_share) * IDLE_MARGIN
+    };
     if share(idle().count(), considered().count()) <= allowed_idle_share {
         return None;
     }
@@ -64,8 +70,11 @@
                         && context.attempted.is_empty()
                         && (repeatable || !context.probed_by_repeatable)))
         })
-        .min_by_key(|(_, entry)| (entry.health.is_suspected(), entry.last_used))
-        .map(|(key, entry)| (*key, entry.health.is_suspected()))
+        .map(|(key, entry)| (*key, entry.health.is_suspected(), entry.last_used))
+        // After a common start every gateway sees the same unused servers, so the order among them
+        // is random.
+        .min_by_key(|(_, is_probe, last_used)| (*is_probe, *last_used, rng.random::<u32>()))
+        .map(|(key, is_probe, _)| (key, is_probe))
 }
 
 /// Returns whether so many suspected servers of a pool may be healthy again that the floor could be
@@ -88,7 +97,10 @@
 }
 
 fn is_idle(entry: &ServerEntry, now: Millis) -> bool {
-    may_be_healthy(entry, now) && entry.load() == 0 && now.since(entry.last_used) >= IDLE_MS
+    let unused = entry
+        .last_used
+        .is_none_or(|last_used| now.since(last_used) >= IDLE_MS);
+    may_be_healthy(entry, now) && entry.load() == 0 && unused
 }
 
 fn share(part: usize, all: usize) -> f64 {
--- a/crates/steering/src/registry.rs
+++ b/crates/steering/src/registry.rs
@@ -46,8 +46,12 @@
     pub mean_latency_ms: Option<f64>,
     /// Time at which a delisted server is removed; `None` while it is listed.
     pub remove_at: Option<Millis>,
-    /// Last time at which a request is known to have started or ended there.
-    pub last_used: Millis,
+    /// Last time at which a request is known to have started or ended there; `None` before the
+    /// first.
+    pub last_used: Option<Millis>,
+    /// Time since which this gateway's connection that was answered last is idle; `None` without
+    /// one.
+    pub idle_connection_since: Option<Millis>,
 }
 
 /// Backend servers by key, name and pool.
@@ -89,7 +93,8 @@
             in_flight_since: Vec::new(),
             mean_latency_ms: None,
             remove_at: None,
-            last_used: now,
+            last_used: None,
+            idle_connection_since: None,
         };
         let key = self.entries.insert(entry);
         self.ids.insert(id, key);
@@ -177,7 +182,7 @@
         let Some(entry) = self.ids.get(&id).and_then(|key| self.entries.get_mut(*key)) else {
             return HealthChange::Unchanged;
         };
-        entry.last_used = entry.last_used.max(at);
+        entry.last_used = entry.last_used.max(Some(at));
         // A failure of a suspected server is mostly a failed probe, which is retried elsewhere.
         let failed = outcome != AttemptOutcome::Success && !entry.health.is_suspected();
         let window = self.failure_windows.entry(entry.row.pool).or_default();
@@ -278,7 +283,7 @@
     pub fn update_peer_in_flight(&mut self, id: ServerId, before: u32, after: u32, now: Millis) {
         if let Some(entry) = self.ids.get(&id).and_then(|key| self.entries.get_mut(*key)) {
             if after > before {
-                entry.last_used = now;
+                entry.last_used = Some(now);
             }
             entry.peer_in_flight = (entry.peer_in_flight + after).saturating_sub(before);
         }
--- a/crates/steering/src/selection.rs
+++ b/crates/steering/src/selection.rs
@@ -17,6 +17,10 @@
 /// Upper bound of the random part of the score, so that gateways with the same state do not all
 /// select the same server.
 const JITTER: f64 = 0.1;
+/// Bonus in the score of a server to which this gateway has an idle connection for the request. A
+/// new one costs the server time and may find no room there.
+const IDLE_CONNECTION_BONUS: f64 = 0.1;
+const REPEATABLE_CONNECTION_BONUS: f64 = 0.3;
 /// Share of a server's slots below which its load does not matter.
 const FREE_SLOT_SHARE: f64 = 0.7;
 /// Weight in the score of the load per slot above that share.
@@ -64,6 +68,8 @@
     pub latency_target_ms: u64,
     /// Share of a pool's healthy backend servers that must stay in use.
     pub floor_share: f64,
+    /// Longest rest in milliseconds of a connection that this request may use.
+    pub max_rest_ms: u64,
 }
 
 /// Why no backend server was selected.
@@ -237,6 +243,16 @@
     if entry.health.recently_overloaded(now) {
         score += OVERLOADED_PENALTY;
     }
+    let has_connection = entry
+        .idle_connection_since
+        .is_some_and(|since| now.since(since) <= context.max_rest_ms);
+    if has_connection {
+        score -= if context.repeat_rule == RepeatRule::Repeatable {
+            REPEATABLE_CONNECTION_BONUS
+        } else {
+            IDLE_CONNECTION_BONUS
+        };
+    }
     let age = seconds_since(entry.health.last_success_sent(), now).min(MAX_SUCCESS_AGE_S);
     let repeatable = context.repeat_rule == RepeatRule::Repeatable;
     let can_retry = repeatable && context.retry_available;
--- a/crates/steering/tests/floor.rs
+++ b/crates/steering/tests/floor.rs
@@ -23,6 +23,7 @@
         failure_domain: "a",
         latency_target_ms: 2_000,
         floor_share: 0.7,
+        max_rest_ms: 0,
     }
 }
 
@@ -65,7 +66,7 @@
     assert!(keys[1..].iter().any(|key| used.contains(key)));
     for key in &keys[1..] {
         if let Some(entry) = registry.get_mut(*key) {
-            entry.last_used = NOW;
+            entry.last_used = Some(NOW);
         }
     }
     let used = selected_servers(&registry, &non_repeatable, NOW);
@@ -84,7 +85,7 @@
     registry.record_outcome(support::id(1), AttemptOutcome::OwnError, Millis(10));
     for key in &keys[2..] {
         if let Some(entry) = registry.get_mut(*key) {
-            entry.last_used = NOW;
+            entry.last_used = Some(NOW);
         }
     }
     let early = selected_servers(&registry, &without_repeatable, Millis(2_100));
@@ -101,7 +102,7 @@
     let failed = Millis(NOW.0 - 2_500);
     for key in &keys {
         if let Some(entry) = registry.get_mut(*key) {
-            entry.last_used = NOW;
+            entry.last_used = Some(NOW);
         }
     }
     registry.record_outcome(support::id(0), AttemptOutcome::OwnError, failed);
@@ -164,3 +165,48 @@
     assert!(registry.has_high_failure_rate(pool, NOW));
     assert!(!registry.has_high_failure_rate(pool, Millis(NOW.0 + 2_600)));
 }
+
+/// After all machines had lost power, no server counted as idle for 1.2 s. The first successes drew
+/// the non-repeatable requests, the others were spread at random, and half of the sound servers got
+/// nothing for 2 s.
+#[test]
+fn reads_reach_every_unused_server_after_a_restart() {
+    let (mut registry, keys) = support::registry(30);
+    let start = Millis(200);
+    let read = context(RepeatRule::Repeatable, true);
+    let mut used = collections::HashSet::new();
+    for seed in 0..30 {
+        let now = start + seed * 20;
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let (key, _) = registry.select(&read, now, &mut rng).expect("all are ready");
+        if let Some(entry) = registry.get_mut(key) {
+            entry.last_used = Some(now);
+        }
+        used.insert(key);
+    }
+    assert_eq!(used.len(), keys.len());
+}
+
+/// Gateways that started together sent their first reads to the same unused server.
+#[test]
+fn gateways_that_start_together_spread_over_the_unused_servers() {
+    let (registry, _) = support::registry(20);
+    let used = selected_servers(&registry, &context(RepeatRule::Repeatable, true), Millis(200));
+    assert_eq!(used.len(), 20);
+}
+
+/// Of 20 servers two were idle, which is less than the share above the floor. They were the only
+/// sound ones of a pool in which all others had just restarted, and got nothing for 2 s.
+#[test]
+fn a_read_goes_to_an_idle_server_however_few_are_idle() {
+    let (mut registry, keys) = support::registry(20);
+    for key in &keys[2..] {
+        if let Some(entry) = registry.get_mut(*key) {
+            entry.last_used = Some(NOW);
+        }
+    }
+    let used = selected_servers(&registry, &context(RepeatRule::Repeatable, true), NOW);
+    assert!(used.iter().all(|key| keys[..2].contains(key)));
+    let used = selected_servers(&registry, &context(RepeatRule::Keyed, false), NOW);
+    assert!(used.iter().any(|key| keys[2..].contains(key)));
+}
--- a/crates/steering/tests/main.rs
+++ b/crates/steering/tests/main.rs
@@ -6,6 +6,7 @@
 mod health;
 mod peers;
 mod reader;
+mod reuse;
 mod selection;
 mod store_cache;
 mod support;
--- a/crates/steering/tests/selection.rs
+++ b/crates/steering/tests/selection.rs
@@ -23,6 +23,7 @@
         failure_domain: "a",
         latency_target_ms: 2_000,
         floor_share: 0.7,
+        max_rest_ms: 0,
     }
 }
 
@@ -36,7 +37,7 @@
     let keys: Vec<ServerKey> = registry.iter().map(|(key, _)| key).collect();
     for key in keys {
         if let Some(entry) = registry.get_mut(key) {
-            entry.last_used = now;
+            entry.last_used = Some(now);
         }
     }
     (0..DRAWS)
