--- a/crates/steering/tests/floor.rs
+++ b/crates/steering/tests/floor.rs
@@ -210,3 +210,26 @@
     let used = selected_servers(&registry, &context(RepeatRule::Keyed, false), NOW);
     assert!(used.iter().any(|key| keys[2..].contains(key)));
 }
+
+/// In a pool of 127 servers some were always idle. All reads went to them, and sixty suspected
+/// servers that were sound again got no probe for seconds.
+#[test]
+fn idle_servers_leave_reads_for_probes() {
+    let (mut registry, keys) = support::registry(127);
+    let failed = Millis(NOW.0 - 5_000);
+    for index in 0..60 {
+        registry.record_outcome(support::id(index), AttemptOutcome::OwnError, failed);
+    }
+    let read = SelectionContext {
+        retry_available: true,
+        ..context(RepeatRule::Repeatable, true)
+    };
+    let probes = (0..200_u64)
+        .filter_map(|seed| {
+            let mut rng = SmallRng::seed_from_u64(seed);
+            registry.select(&read, NOW, &mut rng).ok()
+        })
+        .filter(|(key, is_probe)| *is_probe && keys[..60].contains(key))
+        .count();
+    assert!((60..=140).contains(&probes), "{probes} of 200 reads are probes");
+}
