--- a/crates/steering/src/floor.rs
+++ b/crates/steering/src/floor.rs
@@ -20,9 +20,6 @@
 /// Part of the share above the floor that may be idle before non-repeatable requests are sent to idle
 /// servers. It is below 1 because peers may see other servers as idle.
 const IDLE_MARGIN: f64 = 0.5;
-/// That part while the failure rate is high. Servers that are in trouble count among the idle or used
-/// ones here but not for the floor, so fewer may be idle.
-const HIGH_FAILURE_IDLE_MARGIN: f64 = 0.2;
 /// Share of requests that check for idle servers in other failure domains while the failure rate is
 /// high. How much the gateways there use them is not known here.
 const REMOTE_CHECK_SHARE: f64 = 0.1;
@@ -53,12 +50,11 @@
             .filter(|(_, entry)| (*entry.row.failure_domain == *context.failure_domain) == local)
     };
     let idle = || considered().filter(|(_, entry)| is_idle(entry, now));
-    let idle_margin = match (repeatable, high_failure_rate) {
-        (true, _) => 0.0,
-        (false, true) => HIGH_FAILURE_IDLE_MARGIN,
-        (false, false) => IDLE_MARGIN,
+    let allowed_idle_share = if repeatable {
+        0.0
+    } else {
+        (1.0 - context.floor_share) * IDLE_MARGIN
     };
-    let allowed_idle_share = (1.0 - context.floor_share) * idle_margin;
     if share(idle().count(), considered().count()) <= allowed_idle_share {
         return None;
     }
--- a/crates/steering/src/selection.rs
+++ b/crates/steering/src/selection.rs
@@ -103,29 +103,21 @@
         if candidates.is_empty() {
             return Err(SelectionError::NoServer);
         }
+        let high_failure_rate = self.has_high_failure_rate(context.pool, now);
+        if let Some(idle) =
+            floor::select_idle_server(context, &candidates, high_failure_rate, now, rng)
+        {
+            return Ok(idle);
+        }
         let remaining: Vec<(ServerKey, &ServerEntry)> = candidates
-            .iter()
+            .into_iter()
             .filter(|(key, _)| !context.attempted.contains(key))
-            .copied()
             .collect();
         if remaining.is_empty() {
             return Err(SelectionError::AllAttempted);
         }
-        // In a large pool some servers are always idle. Repeatable requests that went to them first
-        // would leave none for the suspected servers.
-        let probes_first = context.repeat_rule == RepeatRule::Repeatable;
         let near_capacity = is_near_capacity(context, &remaining, now);
-        if probes_first && let Some(key) = due_probe(context, &remaining, near_capacity, now, rng) {
-            return Ok((key, true));
-        }
-        let high_failure_rate = self.has_high_failure_rate(context.pool, now);
-        if let Some(idle) =
-            floor::select_idle_server(context, &candidates, high_failure_rate, now, rng)
-        {
-            return Ok(idle);
-        }
-        if !probes_first && let Some(key) = due_probe(context, &remaining, near_capacity, now, rng)
-        {
+        if let Some(key) = due_probe(context, &remaining, near_capacity, now, rng) {
             return Ok((key, true));
         }
         let median = self.median_latency_ms(context.pool);
