--- a/crates/front/src/connection.rs
+++ b/crates/front/src/connection.rs
@@ -155,11 +155,6 @@
         Some(self.lock().get(&server)?.last()?.since)
     }
 
-    /// Returns the number of idle connections.
-    pub fn len(&self) -> usize {
-        self.lock().values().map(Vec::len).sum()
-    }
-
     fn lock(&self) -> sync::MutexGuard<'_, collections::HashMap<ServerKey, Vec<IdleConnection>>> {
         self.servers
             .lock()
--- a/crates/steering/src/selection.rs
+++ b/crates/steering/src/selection.rs
@@ -17,9 +17,10 @@
 /// Upper bound of the random part of the score, so that gateways with the same state do not all
 /// select the same server.
 const JITTER: f64 = 0.1;
-/// Bonus in the score of a server to which this gateway has an idle connection for the request. A
-/// new one costs the server time and may find no room there.
-const IDLE_CONNECTION_BONUS: f64 = 0.1;
+/// Bonus in the score of a server to which this gateway has an idle connection that the request may
+/// use. It is smaller for non-repeatable requests, which prefer the server with the most recent
+/// success.
+const NON_REPEATABLE_CONNECTION_BONUS: f64 = 0.1;
 const REPEATABLE_CONNECTION_BONUS: f64 = 0.3;
 /// Share of a server's slots below which its load does not matter.
 const FREE_SLOT_SHARE: f64 = 0.7;
@@ -250,7 +251,7 @@
         score -= if context.repeat_rule == RepeatRule::Repeatable {
             REPEATABLE_CONNECTION_BONUS
         } else {
-            IDLE_CONNECTION_BONUS
+            NON_REPEATABLE_CONNECTION_BONUS
         };
     }
     let age = seconds_since(entry.health.last_success_sent(), now).min(MAX_SUCCESS_AGE_S);
