--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -1,15 +1,14 @@
 //! Forwards a request of a caller to a backend server, with retries, and returns the response.
 
+mod keyed;
+
 use std::sync;
 use std::time;
 
-use bytes::Bytes;
 use http_body_util::BodyExt;
-use toucanledge_claims::{ClaimKey, ClaimOutcome, StoredResponse};
-use toucanledge_core::{CallerHash, RefusalReason, RequestOutcome, RetryReason, TableRevision};
+use toucanledge_core::{RefusalReason, RequestOutcome, RetryReason, TableRevision};
 use toucanledge_slots::LeaseOutcome;
 use toucanledge_table::{ClassRow, RepeatRule};
-use xxhash_rust::xxh3;
 
 use crate::attempts;
 use crate::attempts::AttemptHistory;
@@ -19,7 +18,7 @@
     BackendResponse, BodyOutcome, ExchangeOutcome, ExchangeParams, StreamingBody,
 };
 use crate::kernel::KernelHandle;
-use crate::plugin::{ClaimDecision, ClaimPermit, SlotDecision, SlotPermit, SlotRequest};
+use crate::plugin::{ClaimPermit, SlotDecision, SlotPermit, SlotRequest};
 use crate::request::CallerRequest;
 use crate::response;
 use crate::response::{CallerResponse, RequestRefusal};
@@ -28,12 +27,6 @@
 
 /// Maximum number of attempts of one request, the first included.
 const MAX_ATTEMPTS: usize = 3;
-/// Maximum size in bytes of a response body that voters store for replay.
-const MAX_STORED_BODY_BYTES: usize = 64 * 1024;
-/// Maximum size in bytes of a response body of an at-most-once request, which the gateway reads to
-/// its end before it responds.
-const MAX_KEYED_BODY_BYTES: usize = 8 * 1024 * 1024;
-
 /// Forwards requests by the active table.
 #[derive(Debug)]
 pub struct RequestForwarder {
@@ -91,8 +84,9 @@
                     let _guard = guard;
                     self.forward_keyed(routed).await
                 });
-                task.await
-                    .unwrap_or_else(|_| response::refusal_response(&internal_error_refusal()))
+                task.await.unwrap_or_else(|_| {
+                    response::refusal_response(&keyed::internal_error_refusal())
+                })
             }
         }
     }
@@ -264,49 +258,51 @@
             .send(routed, &params, &mut slot_permit, may_retry)
             .await;
         let refuse = |reason, outcome| AttemptOutcome::Refuse(routed.refusal(reason, outcome));
-        match outcome {
+        let (lease_outcome, attempt_outcome) = match outcome {
             ExchangeOutcome::ResponseHead(response) => {
-                AttemptOutcome::Response(response, slot_permit, started)
+                return AttemptOutcome::Response(response, slot_permit, started);
             }
             ExchangeOutcome::Overloaded { leaving } => {
                 slot_permit.release(LeaseOutcome::Shed, started, leaving);
-                AttemptOutcome::Retry(RetryReason::Shed)
-            }
-            ExchangeOutcome::ConnectFailed => {
-                slot_permit.release(LeaseOutcome::ConnectFailed, started, false);
-                AttemptOutcome::Retry(RetryReason::ConnectFailed)
-            }
-            ExchangeOutcome::Ejected => {
-                slot_permit.release(LeaseOutcome::Cancelled, started, false);
-                AttemptOutcome::Retry(RetryReason::Stalled)
+                return AttemptOutcome::Retry(RetryReason::Shed);
             }
+            ExchangeOutcome::ConnectFailed => (
+                LeaseOutcome::ConnectFailed,
+                AttemptOutcome::Retry(RetryReason::ConnectFailed),
+            ),
+            ExchangeOutcome::Ejected => (
+                LeaseOutcome::Cancelled,
+                AttemptOutcome::Retry(RetryReason::Stalled),
+            ),
             ExchangeOutcome::SendDeadlineExceeded => {
-                slot_permit.release(LeaseOutcome::Cancelled, started, false);
-                if claim_permit.is_some_and(|claim_permit| {
-                    time::Instant::now() >= claim_permit.send_deadline()
-                }) {
+                let claim_expired = claim_permit
+                    .is_some_and(|permit| time::Instant::now() >= permit.send_deadline());
+                let attempt_outcome = if claim_expired {
                     refuse(RefusalReason::ClaimExpired, RequestOutcome::NotRun)
                 } else {
                     AttemptOutcome::Retry(RetryReason::GrantExpired)
-                }
-            }
-            ExchangeOutcome::ConnectTimeout => {
-                slot_permit.release(LeaseOutcome::ConnectFailed, started, false);
-                refuse(RefusalReason::DeadlineExceeded, RequestOutcome::NotRun)
-            }
-            ExchangeOutcome::ConnectionLost => {
-                slot_permit.release(LeaseOutcome::ConnectionLost, started, false);
-                AttemptOutcome::Retry(RetryReason::ConnectionLost)
+                };
+                (LeaseOutcome::Cancelled, attempt_outcome)
             }
-            ExchangeOutcome::BadResponse => {
-                slot_permit.release(LeaseOutcome::BadAnswer, started, false);
-                AttemptOutcome::Retry(RetryReason::BadAnswer)
-            }
-            ExchangeOutcome::DeadlineExceeded => {
-                slot_permit.release(LeaseOutcome::DeadlineExceeded, started, false);
-                refuse(RefusalReason::DeadlineExceeded, RequestOutcome::Unknown)
-            }
-        }
+            ExchangeOutcome::ConnectTimeout => (
+                LeaseOutcome::ConnectFailed,
+                refuse(RefusalReason::DeadlineExceeded, RequestOutcome::NotRun),
+            ),
+            ExchangeOutcome::ConnectionLost => (
+                LeaseOutcome::ConnectionLost,
+                AttemptOutcome::Retry(RetryReason::ConnectionLost),
+            ),
+            ExchangeOutcome::BadResponse => (
+                LeaseOutcome::BadAnswer,
+                AttemptOutcome::Retry(RetryReason::BadAnswer),
+            ),
+            ExchangeOutcome::DeadlineExceeded => (
+                LeaseOutcome::DeadlineExceeded,
+                refuse(RefusalReason::DeadlineExceeded, RequestOutcome::Unknown),
+            ),
+        };
+        slot_permit.release(lease_outcome, started, false);
+        attempt_outcome
     }
 
     fn stream_response(
@@ -346,95 +342,6 @@
         response
     }
 
-    async fn forward_keyed(&self, routed: RoutedRequest) -> CallerResponse {
-        let key = claim_key(&routed);
-        match ClaimPermit::acquire(&self.kernel, key, routed.deadline).await {
-            ClaimDecision::Granted(claim_permit) => self.run_keyed(&routed, claim_permit).await,
-            ClaimDecision::Replay(stored) => response::stored_response(&stored, true),
-            ClaimDecision::Refused { reason, outcome } => {
-                response::refusal_response(&routed.refusal(reason, outcome))
-            }
-        }
-    }
-
-    /// Runs an at-most-once request under a claim permit; retries only attempts that did not run.
-    async fn run_keyed(&self, routed: &RoutedRequest, claim_permit: ClaimPermit) -> CallerResponse {
-        self.retry_budgets.deposit(&routed.class);
-        let mut history = AttemptHistory::default();
-        loop {
-            let refusal = match self
-                .attempt(routed, &mut history, Some(&claim_permit))
-                .await
-            {
-                AttemptOutcome::Response(backend_response, slot_permit, started) => {
-                    return self
-                        .collect_response(
-                            routed,
-                            backend_response,
-                            slot_permit,
-                            started,
-                            claim_permit,
-                        )
-                        .await;
-                }
-                AttemptOutcome::Refuse(refusal) => refusal,
-                AttemptOutcome::Retry(
-                    reason @ (RetryReason::Shed
-                    | RetryReason::ConnectFailed
-                    | RetryReason::GrantExpired),
-                ) => match self.allow_retry(routed, reason, &mut history) {
-                    Ok(()) => continue,
-                    Err(refusal) => refusal,
-                },
-                AttemptOutcome::Retry(reason) => {
-                    history.record_failure(reason);
-                    routed.refusal(attempts::refusal_reason_of(reason), RequestOutcome::Unknown)
-                }
-            };
-            claim_permit.finish(match refusal.outcome {
-                RequestOutcome::NotRun => ClaimOutcome::NotRun,
-                _ => ClaimOutcome::Unknown,
-            });
-            history.wait_for_loss_propagation().await;
-            return response::refusal_response(&refusal);
-        }
-    }
-
-    async fn collect_response(
-        &self,
-        routed: &RoutedRequest,
-        backend_response: Box<BackendResponse>,
-        slot_permit: SlotPermit,
-        started: time::Instant,
-        claim_permit: ClaimPermit,
-    ) -> CallerResponse {
-        let BackendResponse {
-            parts,
-            body,
-            connection,
-            leaving,
-        } = *backend_response;
-        let limited = http_body_util::Limited::new(body, MAX_KEYED_BODY_BYTES);
-        let deadline = routed.deadline.into();
-        let (outcome, reason) = match tokio::time::timeout_at(deadline, limited.collect()).await {
-            Ok(Ok(collected)) => {
-                slot_permit.release(LeaseOutcome::Completed, started, leaving);
-                self.connection_pool.check_in(connection);
-                let stored = to_stored_response(&parts, collected.to_bytes());
-                claim_permit.finish(to_claim_outcome(&stored));
-                return response::stored_response(&stored, false);
-            }
-            Ok(Err(_)) => (LeaseOutcome::BadAnswer, RefusalReason::BadAnswer),
-            Err(_) => (
-                LeaseOutcome::DeadlineExceeded,
-                RefusalReason::DeadlineExceeded,
-            ),
-        };
-        slot_permit.release(outcome, started, leaving);
-        claim_permit.finish(ClaimOutcome::Unknown);
-        response::refusal_response(&routed.refusal(reason, RequestOutcome::Unknown))
-    }
-
     fn next_request_id(&self) -> String {
         let kernel = &self.kernel;
         format!(
@@ -458,34 +365,6 @@
     }
 }
 
-/// Returns the refusal of an at-most-once request whose task panicked.
-fn internal_error_refusal() -> RequestRefusal {
-    RequestRefusal {
-        reason: RefusalReason::ConnectionLost,
-        outcome: RequestOutcome::Unknown,
-        row: None,
-        table_revision: TableRevision::default(),
-        retry_after_ms: 1000,
-    }
-}
-
-/// Returns the claim key of an at-most-once request: hash of class, caller, and idempotency key or
-/// else fingerprint.
-fn claim_key(routed: &RoutedRequest) -> ClaimKey {
-    let mut hasher = xxh3::Xxh3::new();
-    hasher.update(routed.class.class.as_bytes());
-    let CallerHash(caller) = routed.request.caller;
-    hasher.update(&caller.to_le_bytes());
-    if let Some(key) = &routed.request.idempotency_key {
-        hasher.update(b"key");
-        hasher.update(key);
-    } else {
-        hasher.update(b"fingerprint");
-        hasher.update(&routed.request.fingerprint.0.to_le_bytes());
-    }
-    ClaimKey(hasher.digest128())
-}
-
 /// Removes hop-by-hop headers and those between gateway and backend server.
 fn strip_backend_headers(headers: &hyper::HeaderMap) -> hyper::HeaderMap {
     let mut kept = toucanledge_head::strip_hop_by_hop(headers);
@@ -498,24 +377,3 @@
     }
     kept
 }
-
-fn to_stored_response(parts: &hyper::http::response::Parts, body: Bytes) -> StoredResponse {
-    let headers = strip_backend_headers(&parts.headers)
-        .iter()
-        .filter(|(name, _)| *name != hyper::header::CONTENT_LENGTH)
-        .map(|(name, value)| (name.as_str().to_owned(), value.as_bytes().to_vec()))
-        .collect();
-    StoredResponse {
-        status: parts.status.as_u16(),
-        headers,
-        body,
-    }
-}
-
-fn to_claim_outcome(stored: &StoredResponse) -> ClaimOutcome {
-    if stored.body.len() <= MAX_STORED_BODY_BYTES {
-        ClaimOutcome::Ran(stored.clone())
-    } else {
-        ClaimOutcome::RanUnstored
-    }
-}
