--- a/review/harness/worker.rs
+++ b/review/harness/worker.rs
@@ -32,6 +32,7 @@
 
 struct Shared {
     plan: WorkerPlan,
+    body: Vec<u8>,
     record: Arc<Record>,
     runs: Mutex<HashMap<String, u32>>,
     answers: AtomicU64,
@@ -52,6 +53,7 @@
         let worker = Self {
             address: listener.local_addr()?,
             shared: Arc::new(Shared {
+                body: vec![b'w'; plan.body_bytes],
                 plan,
                 record: Arc::clone(record),
                 runs: Mutex::default(),
@@ -94,11 +96,12 @@
     }
 
     fn serve(&self, stream: TcpStream) -> io::Result<()> {
-        let Shared { plan, record, .. } = &*self.shared;
+        let Shared {
+            plan, body, record, ..
+        } = &*self.shared;
         stream.set_nodelay(true)?;
         let mut writer = stream.try_clone()?;
         let mut reader = BufReader::new(stream);
-        let body = vec![b'w'; plan.body_bytes];
         let mut extra_for: Option<String> = None;
         while let Some(request) = http::read_message(&mut reader)? {
             let id = request.header("x-toucanledge-attempt-id").unwrap_or("");
@@ -136,7 +139,7 @@
                 ("X-Toucanledge-Response-Signature", "3e1b.07.5a2.0.c9f2a4d1"),
                 ("Keep-Alive", "timeout=10"),
             ];
-            http::write_response(&mut writer, "200 OK", &headers, &body)?;
+            http::write_response(&mut writer, "200 OK", &headers, body)?;
             let answer = self.shared.answers.fetch_add(1, Ordering::Relaxed);
             if let Some(every) = plan.extra_one_in
                 && self.shared.extra_on.load(Ordering::Relaxed)
